--- /dev/null
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/membership.py
@@ -0,0 +1,82 @@
+"""Wires the parts that make a process a member of its cell.
+
+The composition root gives it the real store and link; tests give it small
+fakes of both and a clock that they turn.
+"""
+
+import collections.abc
+
+from bronzepaddle import cells, options
+from bronzepaddle_peers import link
+from bronzepaddle_platform import store
+
+from bronzepaddle_node import (
+    coordinator,
+    duties,
+    handover,
+    heartbeats,
+    joining,
+    owner,
+    peering,
+    silence,
+    state,
+    tasks,
+    watching,
+    writing,
+)
+
+
+class Membership:
+    """The membership of one process, and its tasks."""
+
+    def __init__(
+        self,
+        knowledge: state.State,
+        objects: store.Store,
+        peers: link.Link,
+        slots: owner.Owner,
+        backend: options.BackendOptions,
+        ask_first: collections.abc.Sequence[cells.Address],
+    ) -> None:
+        self.running = tasks.Tasks()
+        self.beats = heartbeats.Heartbeats(knowledge, peers, self.running)
+        self.watching = watching.Watching(knowledge, objects, self.beats)
+        self.beats.refresh = self.watching.refresh
+        quiet = silence.Silence(knowledge, peers)
+        writer = writing.CellWriter(knowledge, objects, self.beats)
+        entering = joining.Joining(
+            knowledge, objects, writer, self.beats, quiet, tuple(ask_first)
+        )
+        self.duties = duties.Duties(
+            knowledge,
+            backend,
+            writer,
+            slots,
+            handover.HandOver(knowledge, writer, peers, slots),
+            entering,
+            self.running,
+        )
+        self.joining = entering
+        self.coordinator = coordinator.Coordinator(
+            knowledge,
+            writer,
+            peers,
+            quiet,
+            self.running,
+            self.duties.move_own,
+        )
+        self.peering = peering.Peering(knowledge, quiet, slots, self.duties)
+
+    def start(self) -> None:
+        """Start the tasks; the process joins in the background."""
+        start = self.running.start
+        start(self.joining.join(), "join")
+        start(self.beats.run(), "heartbeats")
+        start(self.watching.run_reads(), "reads")
+        start(self.watching.run_watch(), "watch")
+        start(self.coordinator.run(), "coordinator")
+        start(self.duties.run(), "duties")
+
+    async def stop(self) -> None:
+        """End the tasks at once."""
+        await self.running.stop()
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/node.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/node.py
@@ -20,20 +20,11 @@
 
 from bronzepaddle_node import (
     control,
-    coordinator,
-    duties,
     entry,
-    handover,
-    heartbeats,
-    joining,
+    membership,
     metrics,
     owner,
-    peering,
-    silence,
     state,
-    tasks,
-    watching,
-    writing,
 )
 
 CONTROL_THREADS: typing.Final = 4
@@ -48,7 +39,6 @@
     def __init__(self, settings: options.Options) -> None:
         self.settings = settings
         self.time: clocks.Clock = clocks.BootClock()
-        self.running = tasks.Tasks()
         self.channels = client.Channels()
         self.budget = http_store.CallBudget(settings.platform_calls_per_minute)
         self.objects = http_store.HttpStore(
@@ -82,7 +72,7 @@
         )
         self.meters = metrics.Metrics(self.state)
         self.owner = owner.Owner(self.state)
-        self._build_membership()
+        self.membership = self._build_membership()
         await self._serve_peers()
         forwarder = forwarding.Forwarder(self.channels, loop, self.time)
         self.entry = entry.Entry(
@@ -90,7 +80,8 @@
         )
         self._serve_http(loop)
         self._load_bundle()
-        self._start_tasks()
+        self.membership.start()
+        self.membership.running.start(self._give_grants(), "grants")
 
     # Ports.
 
@@ -113,11 +104,11 @@
             return options.Endpoint(wanted.host, port)
 
     def _heard(self, heartbeat: messages.Heartbeat) -> None:
-        self.beats.receive(heartbeat)
+        self.membership.beats.receive(heartbeat)
 
     async def _serve_peers(self) -> None:
         self.peer_service = service.PeerService(
-            peering.Peering(self.state, self.quiet, self.owner, self.duties),
+            self.membership.peering,
             self.owner.serve,
             self.workers,
             self.time,
@@ -166,43 +157,18 @@
 
     # Parts.
 
-    def _build_membership(self) -> None:
+    def _build_membership(self) -> membership.Membership:
         assert self.udp is not None
-        self.link = client.GrpcLink(self.channels, self.udp)
-        self.beats = heartbeats.Heartbeats(self.state, self.link, self.running)
-        self.watching = watching.Watching(self.state, self.objects, self.beats)
-        self.beats.refresh = self.watching.refresh
-        self.quiet = silence.Silence(self.state, self.link)
-        writer = writing.CellWriter(self.state, self.objects, self.beats)
-        ask_first = tuple(
-            cells.Address(one.host, one.port)
-            for one in self.settings.ask_first
-        )
-        self.joining = joining.Joining(
+        return membership.Membership(
             self.state,
             self.objects,
-            writer,
-            self.beats,
-            self.quiet,
-            ask_first,
-        )
-        moves = handover.HandOver(self.state, writer, self.link, self.owner)
-        self.duties = duties.Duties(
-            self.state,
-            self.settings.backend,
-            writer,
+            client.GrpcLink(self.channels, self.udp),
             self.owner,
-            moves,
-            self.joining,
-            self.running,
-        )
-        self.coordinator = coordinator.Coordinator(
-            self.state,
-            writer,
-            self.link,
-            self.quiet,
-            self.running,
-            self.duties.move_own,
+            self.settings.backend,
+            [
+                cells.Address(one.host, one.port)
+                for one in self.settings.ask_first
+            ],
         )
 
     def _load_bundle(self) -> None:
@@ -211,16 +177,6 @@
         if path is not None:
             self.state.adopt_document(path.read_bytes())
 
-    def _start_tasks(self) -> None:
-        start = self.running.start
-        start(self.joining.join(), "join")
-        start(self.beats.run(), "heartbeats")
-        start(self.watching.run_reads(), "reads")
-        start(self.watching.run_watch(), "watch")
-        start(self.coordinator.run(), "coordinator")
-        start(self.duties.run(), "duties")
-        start(self._give_grants(), "grants")
-
     async def _give_grants(self) -> None:
         """Tell the backend server what it owns, and for how long."""
         loop = asyncio.get_running_loop()
@@ -243,7 +199,7 @@
         """Leave the cell, cutting off no request, and close every port."""
         loop = asyncio.get_running_loop()
         self._set_leaving(True)
-        await self.duties.leave(self.settings.drain_s)
+        await self.membership.duties.leave(self.settings.drain_s)
         known = self.owner.server
         if known is not None:
             await loop.run_in_executor(
@@ -254,7 +210,7 @@
 
     async def close(self) -> None:
         """Close every port at once, as when the process is lost."""
-        await self.running.stop()
+        await self.membership.stop()
         loop = asyncio.get_running_loop()
         await loop.run_in_executor(None, self.callers.stop)
         await loop.run_in_executor(None, self.control.stop)
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/owner.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/owner.py
@@ -26,7 +26,8 @@
 
 from bronzepaddle_node import bodies, state, windows
 
-_Place: typing.TypeAlias = tuple[ids.ServiceName, ids.SlotId]
+Place: typing.TypeAlias = tuple[ids.ServiceName, ids.SlotId]
+"""A hash slot of a service."""
 
 MOVING_RETRY_S: typing.Final = 0.05
 
@@ -54,12 +55,12 @@
         self.server: Server | None = None
         # Guards the tables below; never held while a request waits.
         self.lock = threading.Lock()
-        self.held: set[_Place] = set()
-        self.flying: collections.Counter[_Place] = collections.Counter()
-        self.requests: dict[ids.RequestId, _Place] = {}
-        self.kept: dict[_Place, idempotency.Window] = {}
-        self.received: dict[tuple[_Place, ids.MoveId], idempotency.Window] = {}
-        self.owned: dict[_Place, ids.Token] = {}
+        self.held: set[Place] = set()
+        self.flying: collections.Counter[Place] = collections.Counter()
+        self.requests: dict[ids.RequestId, Place] = {}
+        self.kept: dict[Place, idempotency.Window] = {}
+        self.received: dict[tuple[Place, ids.MoveId], idempotency.Window] = {}
+        self.owned: dict[Place, ids.Token] = {}
         self.workers = concurrent.futures.ThreadPoolExecutor(
             2, thread_name_prefix="orders"
         )
@@ -221,12 +222,9 @@
         if server is None or server.announced.service != request.service:
             return self._refuse(verdicts.Reason.NO_BACKEND)
         with self.lock:
-            if keyed and place not in self.owned:
-                return self._refuse(verdicts.Reason.NOT_OWNER)
-            if keyed and place in self.held:
-                return self._refuse(verdicts.Reason.MOVING, MOVING_RETRY_S)
-            if keyed and not self.state.lease.holds(self.state.time.now()):
-                return self._refuse(verdicts.Reason.NO_LEASE)
+            why = self._not_mine(place) if keyed else None
+            if why is not None:
+                return self._refuse(why, MOVING_RETRY_S)
             self.flying[place] += 1
             self.requests[request.request_id] = place
         return None
@@ -355,10 +353,10 @@
         body: collections.abc.Iterator[bytes],
     ) -> answers.Answer:
         place = (request.service, request.slot)
-        refusal = self._still_mine(place)
-        if refusal is not None:
+        if self._keyed(request) and not self._still_mine(place):
+            # The wait for a slot outlasted the ownership.
             server.slots.withdraw(ticket, self.state.time.now())
-            return refusal
+            return self._refuse(verdicts.Reason.NO_LEASE)
         try:
             answer = server.dispatcher.send(
                 request, body, self.owned.get(place)
@@ -372,13 +370,26 @@
         )
         return bodies.with_end(answer, release)
 
-    def _still_mine(self, place: _Place) -> answers.Answer | None:
-        """Look at the lease again: the wait for a slot may have been long."""
+    def may_act(self, place: Place) -> bool:
+        """Tell whether this process may act as the owner of a slot now."""
+        with self.lock:
+            return self._not_mine(place) is None
+
+    def _not_mine(self, place: Place) -> verdicts.Reason | None:
+        """Return why this process may not act for a slot, or None."""
         if place not in self.owned:
-            return None
-        if self.state.lease.holds(self.state.time.now()):
-            return None
-        return self._refuse(verdicts.Reason.NO_LEASE)
+            return verdicts.Reason.NOT_OWNER
+        if place in self.held:
+            return verdicts.Reason.MOVING
+        if not self.state.lease.holds(self.state.time.now()):
+            return verdicts.Reason.NO_LEASE
+        return None
+
+    def _still_mine(self, place: Place) -> bool:
+        """Tell whether a request that entered may go on; a move waits."""
+        with self.lock:
+            why = self._not_mine(place)
+        return why in (None, verdicts.Reason.MOVING)
 
     def end_without_lease(self) -> None:
         """Have the backend server end what would outlive the lease."""
@@ -420,7 +431,7 @@
 
 def _grants(
     view: cells.Cell, member: ids.MemberId
-) -> dict[_Place, cells.Grant]:
+) -> dict[Place, cells.Grant]:
     """Return the grants of one member by service and slot."""
     return {
         (service, ids.SlotId(slot)): grant
@@ -430,7 +441,7 @@
     }
 
 
-def _places(given: cells.Assignment) -> collections.abc.Iterator[_Place]:
+def _places(given: cells.Assignment) -> collections.abc.Iterator[Place]:
     for service, slots in given.items():
         for slot in slots:
             yield (service, slot)
--- a/tests/integration/test_path.py
+++ b/tests/integration/test_path.py
@@ -3,6 +3,7 @@
 import concurrent.futures
 import hashlib
 
+import urllib3
 from bronzepaddle_callers import exchange
 
 from integration import processes
@@ -51,7 +52,7 @@
         )
         try:
             got = answer.read()
-        except processes.urllib3.exceptions.HTTPError:
+        except urllib3.exceptions.HTTPError:
             continue
         raise AssertionError(f"{len(got)} bytes passed off as whole")
 
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes at the interfaces, and a clock that tests turn."""
