Know what became of a lost write before an owner goes on

Cause: a random schedule found two owners. An owner handing a slot over lost the answer of its write, then the store: the next call of update had forgotten the nonces of the earlier ones, reported that nothing was sent, and the owner went on; the write took effect a second later.

Ruled out: a wait before going on, as no bound holds for a delayed write; the nonce alone, as a write that is still on its way has left no nonce.

Change: the lost writes of a change are kept over all calls; while one of them could still take effect on the newest version, that version is written again as it is, which makes it fail, before the change counts as refused.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/handover.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/handover.py
@@ -116,8 +116,9 @@
                 return None
             return cells.moved(now, self.state.name, given, move)
 
+        lost = updates.Lost()
         while True:
-            outcome = await self.writer.write(change)
+            outcome = await self.writer.write(change, lost)
             match outcome:
                 case updates.Written():
                     return True
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/writing.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/writing.py
@@ -20,10 +20,16 @@
         self.objects = objects
         self.beats = beats
 
-    async def write(self, change: updates.Change) -> updates.Outcome:
+    async def write(
+        self, change: updates.Change, lost: updates.Lost | None = None
+    ) -> updates.Outcome:
         """Apply a change and take in the version that it led to."""
         outcome = await updates.update(
-            self.objects, self.state.identity.cell, change, self.state.time
+            self.objects,
+            self.state.identity.cell,
+            change,
+            self.state.time,
+            lost,
         )
         match outcome:
             case updates.Written(now) | updates.Refused(now):
--- a/packages/bronzepaddle-platform/src/bronzepaddle_platform/updates.py
+++ b/packages/bronzepaddle-platform/src/bronzepaddle_platform/updates.py
@@ -67,30 +67,63 @@
     return cells.Versioned(found.version, cells.decode(found.body))
 
 
+class Lost:
+    """Writes whose answers were lost and that may yet take effect.
+
+    Kept by a caller that must know what became of a change before it goes
+    on, over as many calls of ``update`` as that takes.
+    """
+
+    def __init__(self) -> None:
+        self.nonces: set[str] = set()
+        self.replaced: set[ids.ObjectVersion] = set()
+
+    def add(self, nonce: str, replaces: ids.ObjectVersion) -> None:
+        """Note a write with no answer."""
+        self.nonces.add(nonce)
+        self.replaced.add(replaces)
+
+    def took_effect(self, now: cells.Versioned | None) -> bool:
+        """Tell whether one of the writes made ``now`` or one before it."""
+        if now is None:
+            return False
+        return not self.nonces.isdisjoint(now.cell.nonces)
+
+    def may_come(self, now: cells.Versioned | None) -> bool:
+        """Tell whether a write may still take effect on ``now``."""
+        version = ids.NO_VERSION if now is None else now.version
+        return version in self.replaced
+
+
 async def update(
     objects: store.Store,
     name: ids.CellId,
     change: Change,
     time: clocks.Clock,
+    lost: Lost | None = None,
 ) -> Outcome:
     """Apply a change to the newest version of a cell."""
-    nonces: list[str] = []
+    lost = lost or Lost()
     for _ in range(MOST_TRIES):
         try:
             now = await read(objects, name)
         except store.StoreDownError as error:
-            return Unreached(bool(nonces), str(error))
-        if now is not None and not set(nonces).isdisjoint(now.cell.nonces):
+            return Unreached(bool(lost.nonces), str(error))
+        if now is not None and lost.took_effect(now):
             return Written(now)
         changed = change(None if now is None else now.cell)
         if changed is None:
-            return Refused(now)
-        nonces.append(ids.new_id())
-        written = await _write(objects, name, now, changed, nonces[-1])
+            if now is None or not lost.may_come(now):
+                return Refused(now)
+            # A write that is still on its way would take effect on this
+            # version: the same cell written again makes it fail.
+            await _write(objects, name, now, now.cell, lost)
+            continue
+        written = await _write(objects, name, now, changed, lost)
         if written is not None:
             return Written(written)
         await time.sleep(RETRY_S)
-    return Unreached(bool(nonces), f"gave up after {MOST_TRIES} tries")
+    return Unreached(bool(lost.nonces), f"gave up after {MOST_TRIES} tries")
 
 
 async def _write(
@@ -98,16 +131,19 @@
     name: ids.CellId,
     now: cells.Versioned | None,
     changed: cells.Cell,
-    nonce: str,
+    lost: Lost,
 ) -> cells.Versioned | None:
     """Write once; None when the newest version must be looked at again."""
+    nonce = ids.new_id()
     stamped = cells.stamped(changed, nonce)
     replaces = ids.NO_VERSION if now is None else now.version
     try:
         version = await objects.put(
             object_name(name), cells.encode(stamped), replaces
         )
+    except store.LostAnswerError:
+        lost.add(nonce, replaces)
+        return None
     except store.StoreError:
-        # A conflict, or an outcome that only reading back can tell.
         return None
     return cells.Versioned(version, stamped)
