Keep a crashing request from taking many servers down; give up on lost peers

Cause: a request that crashes its server is sent again by its caller, and an idempotent one by the entry process, so it went from server to server. Requests that waited for a frozen owner waited until their deadline.

Change: what was in flight when a backend server died is a suspect in every process before its answer goes back; a suspect runs alone, is cleared when it comes through and refused after a second crash. A suspended member's exchanges end at once, as may-have-run. A caller may give its word that a key was never sent before, so that a key made during a takeover is not held for one that may have run.

--- a/packages/bronzepaddle-backend/src/bronzepaddle_backend/dispatch.py
+++ b/packages/bronzepaddle-backend/src/bronzepaddle_backend/dispatch.py
@@ -7,6 +7,7 @@
 
 import collections.abc
 import math
+import socket
 import typing
 
 import urllib3
@@ -63,6 +64,17 @@
             return self._lost(verdicts.Reason.BACKEND_LOST, error)
         return self._answer(response)
 
+    def reachable(self) -> bool:
+        """Tell whether the server still takes connections."""
+        try:
+            probe = socket.create_connection(
+                (self.pool.host, self.pool.port), CONNECT_TIMEOUT_S
+            )
+        except OSError:
+            return False
+        probe.close()
+        return True
+
     def close(self) -> None:
         """Let the connections go."""
         self.pool.close()
--- a/packages/bronzepaddle-callers/src/bronzepaddle_callers/exchange.py
+++ b/packages/bronzepaddle-callers/src/bronzepaddle_callers/exchange.py
@@ -22,12 +22,23 @@
 CALLER: typing.Final = "Bronzepaddle-Caller"
 IDEMPOTENCY_KEY: typing.Final = "Idempotency-Key"
 
+FIRST_ATTEMPT: typing.Final = "Bronzepaddle-First-Attempt"
+"""``yes`` is the caller's word that it never sent this key before."""
+
 REPEATED_LINES: typing.Final = "bronzepaddle.repeated-lines"
 """Place in the WSGI environment for header lines of one name."""
 
 OWN_HEADERS: typing.Final = frozenset(
     name.lower()
-    for name in (REQUEST_ID, VERDICT, REASON, SERVED_BY, PRIORITY, CALLER)
+    for name in (
+        REQUEST_ID,
+        VERDICT,
+        REASON,
+        SERVED_BY,
+        PRIORITY,
+        CALLER,
+        FIRST_ATTEMPT,
+    )
 ) | {"content-length", "host", "idempotency-key", DEADLINE_MS.lower()}
 """Headers of a caller that are not passed on as they came."""
 
--- /dev/null
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/crashes.py
@@ -0,0 +1,122 @@
+"""Keeps a request that crashes backend servers from taking many down.
+
+``Guard`` stands in front of the dispatch: ordinary requests pass side by
+side, a suspect passes alone or not at all.  ``Sharing`` tells every other
+process of a suspect before the answer that could bring it to them is given.
+"""
+
+import asyncio
+import collections.abc
+import contextlib
+import threading
+import typing
+
+from bronzepaddle import clocks, suspects
+from bronzepaddle_peers import link, messages
+
+from bronzepaddle_node import state
+
+ALONE_WAIT_S: typing.Final = 0.25
+"""Time that a suspect may hold ordinary work up to get the server alone."""
+
+SHARE_WAIT_S: typing.Final = 1.0
+
+
+class NotAloneError(Exception):
+    """Other work did not end in time for a suspect to run alone."""
+
+
+class Guard:
+    """Lets ordinary requests run side by side and a suspect alone."""
+
+    def __init__(self) -> None:
+        self.changed = threading.Condition()
+        self.together = 0
+        self.alone = False
+
+    @contextlib.contextmanager
+    def beside_others(self) -> collections.abc.Iterator[None]:
+        """Hold while the dispatch of an ordinary request lasts."""
+        with self.changed:
+            self.changed.wait_for(lambda: not self.alone)
+            self.together += 1
+        try:
+            yield
+        finally:
+            with self.changed:
+                self.together -= 1
+                self.changed.notify_all()
+
+    @contextlib.contextmanager
+    def by_itself(self) -> collections.abc.Iterator[None]:
+        """Hold while a suspect runs; raises ``NotAloneError``."""
+        with self.changed:
+            free = self.changed.wait_for(lambda: not self.alone, ALONE_WAIT_S)
+            if not free:
+                raise NotAloneError
+            self.alone = True
+            if not self.changed.wait_for(
+                lambda: not self.together, ALONE_WAIT_S
+            ):
+                self.alone = False
+                self.changed.notify_all()
+                raise NotAloneError
+        try:
+            yield
+        finally:
+            with self.changed:
+                self.alone = False
+                self.changed.notify_all()
+
+
+class Sharing:
+    """The suspects of this process, shared with all others of the cell."""
+
+    def __init__(
+        self,
+        knowledge: state.State,
+        peers: link.Link,
+        loop: asyncio.AbstractEventLoop,
+        time: clocks.Clock,
+    ) -> None:
+        self.state = knowledge
+        self.peers = peers
+        self.loop = loop
+        self.time = time
+        self.known = suspects.Suspects()
+
+    def crashes(self, one: suspects.Fingerprint) -> int:
+        """Return the crashes that a request was in flight at."""
+        return self.known.crashes(one, self.time.now())
+
+    def report(self, one: suspects.Fingerprint) -> None:
+        """Count a crash and tell the others, from a worker thread."""
+        self._share(one, self.crashes(one) + 1)
+
+    def clear(self, one: suspects.Fingerprint) -> None:
+        """Forget a suspect that came through, here and elsewhere."""
+        self._share(one, 0)
+
+    def _share(self, one: suspects.Fingerprint, crashes: int) -> None:
+        notice = messages.SuspectNotice(one, crashes)
+        self.take(notice)
+        sharing = asyncio.run_coroutine_threadsafe(
+            self._tell(notice), self.loop
+        )
+        with contextlib.suppress(TimeoutError):
+            sharing.result(timeout=SHARE_WAIT_S)
+
+    def take(self, notice: messages.SuspectNotice) -> None:
+        """Take in what another process tells."""
+        one = suspects.Fingerprint(notice.fingerprint)
+        if notice.crashes:
+            self.known.note(one, notice.crashes, self.time.now())
+        else:
+            self.known.clear(one)
+
+    async def _tell(self, notice: messages.SuspectNotice) -> None:
+        calls = [
+            self.peers.suspect(member.address, notice)
+            for _, member in self.state.others()
+        ]
+        await asyncio.gather(*calls, return_exceptions=True)
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/entry.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/entry.py
@@ -136,6 +136,8 @@
             deadline=self.state.time.now() + _time_left(call, priority),
             idempotent=call.method in found.service.idempotent_methods,
             idempotency_key=ids.IdempotencyKey(key) if key else None,
+            first_attempt=call.own.get(exchange.FIRST_ATTEMPT.lower())
+            == "yes",
             body_length=call.length,
         )
 
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/membership.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/membership.py
@@ -12,6 +12,7 @@
 
 from bronzepaddle_node import (
     coordinator,
+    crashes,
     duties,
     handover,
     heartbeats,
@@ -37,6 +38,7 @@
         slots: owner.Owner,
         backend: options.BackendOptions,
         ask_first: collections.abc.Sequence[cells.Address],
+        sharing: crashes.Sharing,
     ) -> None:
         self.running = tasks.Tasks()
         self.beats = heartbeats.Heartbeats(knowledge, peers, self.running)
@@ -65,7 +67,9 @@
             self.running,
             self.duties.move_own,
         )
-        self.peering = peering.Peering(knowledge, quiet, slots, self.duties)
+        self.peering = peering.Peering(
+            knowledge, quiet, slots, self.duties, sharing
+        )
 
     def start(self) -> None:
         """Start the tasks; the process joins in the background."""
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/node.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/node.py
@@ -20,6 +20,7 @@
 
 from bronzepaddle_node import (
     control,
+    crashes,
     entry,
     membership,
     metrics,
@@ -48,7 +49,6 @@
             settings.threads, thread_name_prefix="forwarded"
         )
         self.grpc: grpclib.server.Server | None = None
-        self.udp: datagrams.Datagrams | None = None
 
     async def start(self) -> None:
         """Listen on every port, then join the cell in the background.
@@ -71,10 +71,15 @@
             self.time,
         )
         self.meters = metrics.Metrics(self.state)
-        self.owner = owner.Owner(self.state)
+        self.link = client.GrpcLink(self.channels, self.udp)
+        self.sharing = crashes.Sharing(self.state, self.link, loop, self.time)
+        self.owner = owner.Owner(self.state, self.sharing)
         self.membership = self._build_membership()
         await self._serve_peers()
         forwarder = forwarding.Forwarder(self.channels, loop, self.time)
+        self.state.learners.append(
+            lambda view: forwarder.give_up_on(_suspended(view))
+        )
         self.entry = entry.Entry(
             self.state, self.owner, forwarder, self.meters, random.Random()
         )
@@ -158,17 +163,17 @@
     # Parts.
 
     def _build_membership(self) -> membership.Membership:
-        assert self.udp is not None
         return membership.Membership(
             self.state,
             self.objects,
-            client.GrpcLink(self.channels, self.udp),
+            self.link,
             self.owner,
             self.settings.backend,
             [
                 cells.Address(one.host, one.port)
                 for one in self.settings.ask_first
             ],
+            self.sharing,
         )
 
     def _load_bundle(self) -> None:
@@ -218,14 +223,22 @@
             self.peer_service.closed = True
             self.grpc.close()
             await self.grpc.wait_closed()
-        if self.udp is not None:
-            self.udp.close()
+        self.udp.close()
         self.channels.close()
         self.objects.close()
         self.workers.shutdown(wait=False, cancel_futures=True)
         self.meters.close()
 
 
+def _suspended(view: cells.Cell) -> set[ids.MemberId]:
+    """Return the members that no answer is to be awaited from."""
+    return {
+        name
+        for name, member in view.members.items()
+        if member.state is cells.MemberState.SUSPENDED
+    }
+
+
 def _in_loop(
     loop: asyncio.AbstractEventLoop,
     call: typing.Callable[..., None],
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/owner.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/owner.py
@@ -9,6 +9,7 @@
 import collections
 import collections.abc
 import concurrent.futures
+import itertools
 import threading
 import typing
 
@@ -19,12 +20,13 @@
     cells,
     idempotency,
     ids,
+    suspects,
     verdicts,
 )
 from bronzepaddle_backend import announcements, dispatch, orders
 from bronzepaddle_peers import messages
 
-from bronzepaddle_node import bodies, state, windows
+from bronzepaddle_node import bodies, crashes, state, windows
 
 Place: typing.TypeAlias = tuple[ids.ServiceName, ids.SlotId]
 """A hash slot of a service."""
@@ -44,14 +46,19 @@
         self.announced = announced
         self.dispatcher = dispatcher
         self.orders = orders.Orders(dispatcher.pool)
+        self.guard = crashes.Guard()
+        self.crashed = False
         self.slots = slots
 
 
 class Owner:
     """The keys that this process owns."""
 
-    def __init__(self, knowledge: state.State) -> None:
+    def __init__(
+        self, knowledge: state.State, sharing: crashes.Sharing
+    ) -> None:
         self.state = knowledge
+        self.sharing = sharing
         self.server: Server | None = None
         # Guards the tables below; never held while a request waits.
         self.lock = threading.Lock()
@@ -247,7 +254,9 @@
         window = self.kept.get((request.service, request.slot))
         if key is None or window is None or not keyed:
             return self._run(request, body)
-        decision = window.begin(key, self.state.time.wall_ms())
+        decision = window.begin(
+            key, self.state.time.wall_ms(), request.first_attempt
+        )
         match decision:
             case idempotency.Run():
                 return self._run_and_keep(request, body, window, key)
@@ -358,9 +367,7 @@
             server.slots.withdraw(ticket, self.state.time.now())
             return self._refuse(verdicts.Reason.NO_LEASE)
         try:
-            answer = server.dispatcher.send(
-                request, body, self.owned.get(place)
-            )
+            answer = self._guarded(server, request, body)
         except BaseException:
             server.slots.release(ticket, self.state.time.now(), False)
             raise
@@ -385,6 +392,56 @@
             return verdicts.Reason.NO_LEASE
         return None
 
+    def _guarded(
+        self,
+        server: Server,
+        request: answers.Request,
+        body: collections.abc.Iterator[bytes],
+    ) -> answers.Answer:
+        """Dispatch: side by side with others, or alone if a suspect."""
+        first = next(body, b"")
+        whole = itertools.chain((first,) if first else (), body)
+        fingerprint = suspects.fingerprint(request, first)
+        crashes_before = self.sharing.crashes(fingerprint)
+        if crashes_before >= suspects.CRASHES_BEFORE_REFUSAL:
+            return self._refuse(verdicts.Reason.SUSPECT)
+        token = self.owned.get((request.service, request.slot))
+        send = server.dispatcher.send
+        if not crashes_before:
+            with server.guard.beside_others():
+                answer = send(request, whole, token)
+        else:
+            try:
+                with server.guard.by_itself():
+                    answer = send(request, whole, token)
+            except crashes.NotAloneError:
+                return self._refuse(verdicts.Reason.SUSPECT_WAITS, 1.0)
+        self._judge(server, answer, fingerprint, crashes_before)
+        return answer
+
+    def _judge(
+        self,
+        server: Server,
+        answer: answers.Answer,
+        fingerprint: suspects.Fingerprint,
+        crashes_before: int,
+    ) -> None:
+        """Report a request whose server died, clear one that came through.
+
+        Told to the others before the answer goes back, since the answer is
+        what brings the request to another server.
+        """
+        if answer.verdict is verdicts.Verdict.RAN:
+            if crashes_before:
+                self.sharing.clear(fingerprint)
+            return
+        if answer.reason is not verdicts.Reason.BACKEND_LOST:
+            return
+        if not server.crashed and not server.dispatcher.reachable():
+            server.crashed = True
+        if server.crashed:
+            self.sharing.report(fingerprint)
+
     def _still_mine(self, place: Place) -> bool:
         """Tell whether a request that entered may go on; a move waits."""
         with self.lock:
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/peering.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/peering.py
@@ -3,7 +3,7 @@
 from bronzepaddle import cells
 from bronzepaddle_peers import messages
 
-from bronzepaddle_node import duties, owner, silence, state
+from bronzepaddle_node import crashes, duties, owner, silence, state
 
 
 class Peering:
@@ -15,11 +15,13 @@
         quiet: silence.Silence,
         slots: owner.Owner,
         upkeep: duties.Duties,
+        sharing: crashes.Sharing,
     ) -> None:
         self.state = knowledge
         self.quiet = quiet
         self.slots = slots
         self.upkeep = upkeep
+        self.sharing = sharing
 
     async def on_pull_cell(
         self, request: messages.VersionRequest
@@ -52,6 +54,13 @@
         """Start a planned move of own slots."""
         return messages.HandOverReply(self.upkeep.move_own(request))
 
+    async def on_suspect(
+        self, notice: messages.SuspectNotice
+    ) -> messages.Done:
+        """Take in a suspect, or that one is cleared."""
+        self.sharing.take(notice)
+        return messages.Done()
+
     async def on_take_windows(
         self, request: messages.WindowRequest
     ) -> messages.Done:
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/client.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/client.py
@@ -91,6 +91,12 @@
             to, "HandOver", request, messages.HandOverReply
         )
 
+    async def suspect(
+        self, to: cells.Address, notice: messages.SuspectNotice
+    ) -> messages.Done:
+        """Tell of a request that may crash backend servers."""
+        return await self._call(to, "Suspect", notice, messages.Done)
+
     async def take_windows(
         self, to: cells.Address, request: messages.WindowRequest
     ) -> messages.Done:
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/forwarding.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/forwarding.py
@@ -45,6 +45,12 @@
         self.channels = channels
         self.loop = loop
         self.time = time
+        self.running: set[_Exchange] = set()
+
+    def give_up_on(self, lost: set[ids.MemberId]) -> None:
+        """Wait no longer for members that were lost; on the event loop."""
+        for exchange in [one for one in self.running if one.member in lost]:
+            exchange.stop()
 
     def forward(
         self,
@@ -84,6 +90,18 @@
         exchange: "_Exchange",
     ) -> None:
         """Run one stream: the request up, then the answer down."""
+        self.running.add(exchange)
+        try:
+            await self._stream(address, head, exchange)
+        finally:
+            self.running.discard(exchange)
+
+    async def _stream(
+        self,
+        address: cells.Address,
+        head: messages.ForwardHead,
+        exchange: "_Exchange",
+    ) -> None:
         method: typing.Any = grpclib.client.StreamStreamMethod(
             self.channels.to(address),
             service.PATH + "Forward",
@@ -285,6 +303,7 @@
         time_left_s=max(request.deadline - now, 0.001),
         idempotent=request.idempotent,
         idempotency_key=request.idempotency_key,
+        first_attempt=request.first_attempt,
         body_length=request.body_length,
         chunk=chunk,
         more=more,
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/link.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/link.py
@@ -44,6 +44,12 @@
         """Ask an owner to hand slots over."""
         ...
 
+    async def suspect(
+        self, to: cells.Address, notice: messages.SuspectNotice
+    ) -> messages.Done:
+        """Tell of a request that may crash backend servers."""
+        ...
+
     async def take_windows(
         self, to: cells.Address, request: messages.WindowRequest
     ) -> messages.Done:
@@ -78,6 +84,12 @@
         """Answer ``Link.hand_over``."""
         ...
 
+    async def on_suspect(
+        self, notice: messages.SuspectNotice
+    ) -> messages.Done:
+        """Answer ``Link.suspect``."""
+        ...
+
     async def on_take_windows(
         self, request: messages.WindowRequest
     ) -> messages.Done:
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/messages.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/messages.py
@@ -121,6 +121,13 @@
     windows: tuple[WindowTransfer, ...]
 
 
+class SuspectNotice(msgspec.Struct, frozen=True):
+    """Crashes that a request was in flight at; 0 clears it."""
+
+    fingerprint: str
+    crashes: int
+
+
 class Done(msgspec.Struct, frozen=True):
     """The call was carried out."""
 
@@ -143,6 +150,7 @@
     time_left_s: float
     idempotent: bool
     idempotency_key: ids.IdempotencyKey | None
+    first_attempt: bool
     body_length: int | None
     chunk: bytes
     more: bool
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/service.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/service.py
@@ -72,6 +72,9 @@
                 messages.HandOverRequest,
                 messages.HandOverReply,
             ),
+            PATH + "Suspect": _unary(
+                calls.on_suspect, messages.SuspectNotice, messages.Done
+            ),
             PATH + "TakeWindows": _unary(
                 calls.on_take_windows, messages.WindowRequest, messages.Done
             ),
@@ -162,6 +165,7 @@
         deadline=now + head.time_left_s,
         idempotent=head.idempotent,
         idempotency_key=head.idempotency_key,
+        first_attempt=head.first_attempt,
         body_length=head.body_length,
     )
 
--- a/packages/bronzepaddle/src/bronzepaddle/answers.py
+++ b/packages/bronzepaddle/src/bronzepaddle/answers.py
@@ -35,7 +35,8 @@
     """One request of a caller, without its body.
 
     ``deadline`` is a moment on this process's clock in seconds; ``key`` is
-    empty for a service that is not divided by key.
+    empty for a service that is not divided by key.  ``first_attempt`` is
+    the caller's word that it sent this idempotency key to nobody before.
     """
 
     request_id: ids.RequestId
@@ -50,6 +51,7 @@
     deadline: float
     idempotent: bool
     idempotency_key: ids.IdempotencyKey | None
+    first_attempt: bool
     body_length: int | None
 
 
--- a/packages/bronzepaddle/src/bronzepaddle/idempotency.py
+++ b/packages/bronzepaddle/src/bronzepaddle/idempotency.py
@@ -102,8 +102,14 @@
             ids.IdempotencyKey, concurrent.futures.Future[Result | None]
         ] = {}
 
-    def begin(self, key: ids.IdempotencyKey, wall_ms: int) -> Decision:
-        """Decide what to do with a request that carries a key."""
+    def begin(
+        self, key: ids.IdempotencyKey, wall_ms: int, first_attempt: bool
+    ) -> Decision:
+        """Decide what to do with a request that carries a key.
+
+        A first attempt, on its caller's word, ran nowhere before, however
+        old its key is.
+        """
         made = made_at_ms(key)
         if made is None or made > wall_ms + CLOCK_SKEW_MS:
             return Refuse(
@@ -116,7 +122,7 @@
             running = self.running.get(key)
             if running is not None:
                 return Running(running)
-            if made < self.horizon_ms:
+            if made < self.horizon_ms and not first_attempt:
                 return Refuse(
                     verdicts.Reason.OLD_ID, verdicts.Verdict.MAY_HAVE_RUN
                 )
--- a/packages/bronzepaddle/src/bronzepaddle/problems.py
+++ b/packages/bronzepaddle/src/bronzepaddle/problems.py
@@ -59,6 +59,7 @@
     verdicts.Reason.DRAINING: "The server is leaving",
     verdicts.Reason.SHED: "The backend server refused the request",
     verdicts.Reason.SUSPECT: "The request crashed its backend servers",
+    verdicts.Reason.SUSPECT_WAITS: "The request may crash; it must wait",
     verdicts.Reason.BACKEND_LOST: "The backend server was lost meanwhile",
     verdicts.Reason.PEER_LOST: "The owner's process was lost meanwhile",
     verdicts.Reason.DEADLINE: "The deadline passed",
--- a/packages/bronzepaddle/src/bronzepaddle/verdicts.py
+++ b/packages/bronzepaddle/src/bronzepaddle/verdicts.py
@@ -40,6 +40,7 @@
     SHED = "shed"
     PUSHBACK = "pushback"
     SUSPECT = "suspect"
+    SUSPECT_WAITS = "suspect-waits"
     CONNECT_FAILED = "connect-failed"
     PEER_UNREACHABLE = "peer-unreachable"
     PEER_LOST = "peer-lost"
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -14,7 +14,7 @@
 
 from bronzepaddle import bundles, cells, ids, leases, options
 from bronzepaddle_backend import announcements
-from bronzepaddle_node import membership, owner, state
+from bronzepaddle_node import crashes, membership, owner, state
 from bronzepaddle_peers import link, messages
 from bronzepaddle_platform import store, updates
 
@@ -237,6 +237,17 @@
             ),
         )
 
+    async def suspect(
+        self, to: cells.Address, notice: messages.SuspectNotice
+    ) -> messages.Done:
+        """Tell of a suspect."""
+        return typing.cast(
+            messages.Done,
+            await self._call(
+                to, lambda one: one.member.peering.on_suspect(notice)
+            ),
+        )
+
     async def take_windows(
         self, to: cells.Address, request: messages.WindowRequest
     ) -> messages.Done:
@@ -268,15 +279,18 @@
         )
         self.state.lease.__dict__["clock_now"] = self.time.now
         self.state.lease.sequence = world.draw.randrange(1 << 40)
-        self.owner = owner.Owner(self.state)
+        peers = FakeLink(world, name)
+        sharing = crashes.Sharing(self.state, peers, world.loop, self.time)
+        self.owner = owner.Owner(self.state, sharing)
         self.state.adopt_bundle(state.InForce(RULES, b""))
         self.member = membership.Membership(
             self.state,
             FakeStore(world.objects, name, self.time),
-            FakeLink(world, name),
+            peers,
             self.owner,
             options.BackendOptions(announce_s=ANNOUNCE_S),
             (),
+            sharing,
         )
         self.backend_alive = True
         # Heartbeats that arrive while the process is frozen wait in its
