--- /dev/null
+++ b/tests/test_bundle_ini.py
@@ -0,0 +1,97 @@
+"""Bundles that are right, and every way in which they are not."""
+
+import hypothesis
+import hypothesis.strategies
+import pytest
+import returns.result
+from bronzepaddle import bundle_ini, bundles, routing
+
+GOOD = """
+[bundle]
+version = 3
+[priority urgent]
+rank = 0
+share = 0.5
+[service lots]
+prefix = /lots
+former-prefixes = /auctions
+key = path 0
+slots = 16
+priority = urgent
+"""
+
+WRONG = {
+    "no number": ("version = 3", "version = three", "not-a-number"),
+    "missing": ("version = 3", "", "missing"),
+    "unknown key": ("rank = 0", "rank = 0\nshares = 1", "unknown-key"),
+    "unknown section": ("[bundle]", "[bundles]\n[bundle]", "unknown-section"),
+    "share too large": ("share = 0.5", "share = 1.5", "out-of-range"),
+    "not a number at all": ("share = 0.5", "share = nan", "out-of-range"),
+    "no such priority": ("= urgent", "= later", "unknown-priority"),
+    "bad key rule": ("key = path 0", "key = path x", "bad-key-rule"),
+    "bad name": ("[service lots]", "[service Lots!]", "bad-name"),
+    "prefix": ("prefix = /lots", "prefix = lots", "bad-prefix"),
+    "syntax": ("[bundle]", "bundle]", "syntax"),
+    "twice": ("rank = 0", "rank = 0\nrank = 1", "syntax"),
+}
+
+
+def _parsed(text: str) -> bundles.Bundle:
+    match bundle_ini.parse(text):
+        case returns.result.Success(found):
+            assert isinstance(found, bundles.Bundle)
+            return found
+        case failure:
+            raise AssertionError(str(failure))
+
+
+def _codes(text: str) -> list[str]:
+    match bundle_ini.parse(text):
+        case returns.result.Failure(errors):
+            return [error.code for error in errors]
+        case _:
+            return []
+
+
+def test_good_bundle_is_read() -> None:
+    found = _parsed(GOOD)
+    assert found.version == 3
+    assert [one.slots for one in found.services.values()] == [16]
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "code"), WRONG.values(), ids=WRONG.keys()
+)
+def test_wrong_bundle_is_refused(old: str, new: str, code: str) -> None:
+    assert old in GOOD
+    assert code in _codes(GOOD.replace(old, new, 1))
+
+
+def test_every_error_is_shown_at_once() -> None:
+    text = GOOD.replace("rank = 0", "rank = x").replace(
+        "slots = 16", "slots = y"
+    )
+    assert len(_codes(text)) >= 2
+
+
+def test_former_name_is_served() -> None:
+    target = routing.Target("host", "/auctions/7", "", {})
+    found = routing.find(_parsed(GOOD), target)
+    assert isinstance(found, routing.Found)
+    assert found.former_name
+    assert found.key == "7"
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
+@hypothesis.given(hypothesis.strategies.text())
+def test_no_input_crashes_the_parser(text: str) -> None:
+    bundle_ini.parse(text)
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
+@hypothesis.given(
+    hypothesis.strategies.sampled_from(GOOD.split("\n")),
+    hypothesis.strategies.text(max_size=20),
+)
+def test_no_changed_line_crashes_the_parser(line: str, new: str) -> None:
+    bundle_ini.parse(GOOD.replace(line, new, 1))
