Examples, promises with their tests, settings reference checked against code

Cause: what is promised and what holds it stood nowhere; a service not divided by key has no window, so a repeated enrolment could run twice.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/entry.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/entry.py
@@ -286,7 +286,10 @@
         host=call.host,
         path=call.path,
         query=call.query,
-        headers={name.lower(): value for name, value in call.headers},
+        headers={
+            **{name.lower(): value for name, value in call.headers},
+            **call.own,
+        },
     )
 
 
--- a/tests/integration/processes.py
+++ b/tests/integration/processes.py
@@ -37,6 +37,11 @@
 key = path 0
 slots = 32
 priority = normal
+[service enrolments]
+prefix = /enrolments
+key = header Idempotency-Key
+slots = 8
+priority = urgent
 [service exports]
 prefix = /exports
 priority = normal
--- a/tests/integration/test_requests.py
+++ b/tests/integration/test_requests.py
@@ -6,6 +6,7 @@
 
 import urllib3
 from bronzepaddle_callers import exchange
+from bronzepaddle_standins import callers
 
 from integration import processes
 
@@ -108,3 +109,19 @@
     url = f"{vm.callers}/bronzepaddle/status"
     answer = urllib3.request("GET", url, retries=False)
     assert answer.status == 404
+
+
+def test_service_divided_by_idempotency_key_runs_a_repeat_once(
+    fleet: processes.Fleet,
+) -> None:
+    vms = [fleet.add(name, "enrolments") for name in ("n1", "n2")]
+    key = callers.uuid7()
+    headers = {exchange.IDEMPOTENCY_KEY: key, exchange.FIRST_ATTEMPT: "yes"}
+
+    def enrolled(vm: processes.Vm) -> bool:
+        url = f"{vm.callers}/enrolments"
+        return fleet.http.request("POST", url, headers=headers).status == 200
+
+    for vm in vms * 2:
+        fleet.until("the enrolment is answered", lambda vm=vm: enrolled(vm))  # type: ignore[misc]
+    assert sum(len(fleet.ran(vm)) for vm in vms) == 1
--- /dev/null
+++ b/tests/test_options.py
@@ -0,0 +1,100 @@
+"""Settings that are right, wrong ones, and the page that describes them."""
+
+import pathlib
+import re
+
+import pytest
+import returns.result
+from bronzepaddle import bundle_ini, options
+
+ROOT = pathlib.Path(__file__).parent.parent
+GOOD = """
+[process]
+name = n1
+zone = a
+[callers]
+listen = 127.0.0.1:8000
+[control]
+listen = 127.0.0.1:8001
+[peers]
+listen = 127.0.0.1:8002
+[platform]
+url = http://127.0.0.1:9000
+"""
+
+WRONG = {
+    "missing": ("name = n1", "", "[process] name: must be given"),
+    "unknown key": ("name = n1", "name = n1\nnmae = x", "[process] nmae"),
+    "unknown section": ("[process]", "[x]\n[process]", "[x] : unknown"),
+    "port": (":8000", ":80000", "[callers] listen: HOST:PORT"),
+    "number": (
+        "[platform]",
+        "[platform]\ntimeout-s = soon",
+        "[platform] timeout-s: not a number",
+    ),
+    "range": (
+        "[platform]",
+        "[platform]\ntimeout-s = 900",
+        "[platform] timeout-s: from 0.05 to 60.0",
+    ),
+    "heartbeat": (
+        "[platform]",
+        "[lease]\nheartbeat-s = 2\n[platform]",
+        "[lease] heartbeat-s: at most a third",
+    ),
+}
+
+
+def _load(path: pathlib.Path, text: str) -> options.OptionsResult:
+    path.write_text(text, encoding="utf-8")
+    return options.load(path)
+
+
+def test_good_settings_are_read(tmp_path: pathlib.Path) -> None:
+    match _load(tmp_path / "node.ini", GOOD):
+        case returns.result.Success(found):
+            assert found.name == "n1"
+            assert found.callers.port == 8000
+        case failure:
+            raise AssertionError(str(failure))
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "said"), WRONG.values(), ids=WRONG.keys()
+)
+def test_wrong_settings_name_the_place(
+    tmp_path: pathlib.Path, old: str, new: str, said: str
+) -> None:
+    path = tmp_path / "node.ini"
+    match _load(path, GOOD.replace(old, new, 1)):
+        case returns.result.Failure(errors):
+            lines = [str(error) for error in errors]
+            assert any(said in line for line in lines), lines
+            assert all(line.startswith(str(path)) for line in lines)
+        case _:
+            raise AssertionError("accepted")
+
+
+def test_every_setting_is_on_the_operators_page() -> None:
+    page = (ROOT / "docs" / "operators" / "README.md").read_text()
+    rows = set(re.findall(r"^\| (\w+) \| ([\w-]+) \|", page, re.MULTILINE))
+    known = {
+        (section, key)
+        for section, keys in options.SECTIONS.items()
+        for key in keys
+    }
+    assert known == rows - {("section", "key")}
+
+
+@pytest.mark.parametrize("name", ["granite-commons", "gulf-prairie"])
+def test_examples_are_right(name: str) -> None:
+    folder = ROOT / "examples" / name
+    match bundle_ini.parse((folder / "bundle.ini").read_text()):
+        case returns.result.Success(_):
+            pass
+        case failure:
+            raise AssertionError(str(failure))
+    settings = list(folder.glob("node*.ini"))
+    assert settings
+    for path in settings:
+        assert isinstance(options.load(path), returns.result.Success)
