Split the owner's slot table off; count a crash that shows late

Its log shows that the first crash was not counted: the dying process had closed the request's connection but still took one on its port when asked, once, at that moment. Notices were also sent once only.

The guard of a suspect now lasts until bodies end. A server that checks tokens and does not know a grant yet says so: that is tried again and does not lower the limit. A refused try waits for news of ownership in place of a fixed pause.

--- a/packages/bronzepaddle-backend/src/bronzepaddle_backend/dispatch.py
+++ b/packages/bronzepaddle-backend/src/bronzepaddle_backend/dispatch.py
@@ -8,6 +8,7 @@
 import collections.abc
 import math
 import socket
+import time
 import typing
 
 import urllib3
@@ -18,9 +19,18 @@
 TOKEN: typing.Final = "Bronzepaddle-Token"
 DEADLINE_MS: typing.Final = "Bronzepaddle-Deadline-Ms"
 REFUSED: typing.Final = "Bronzepaddle-Refused"
-"""Set by a backend server on an answer to a request that it did not run."""
+"""Set by a backend server on an answer to a request that it did not run.
+
+``grant`` if it knows of no valid grant for the request's token; anything
+else means that it has no room.
+"""
+
+REFUSED_GRANT: typing.Final = "grant"
 
 CONNECT_TIMEOUT_S: typing.Final = 0.5
+PROBE_PAUSES_S: typing.Final = (0.0, 0.02, 0.08)
+"""Pauses before each look at whether a server is still there."""
+
 STALL_TIMEOUT_S: typing.Final = 10.0
 """Longest pause within an answer's body."""
 
@@ -34,10 +44,10 @@
         host: str,
         port: int,
         connections: int,
-        time: clocks.Clock,
+        clock: clocks.Clock,
     ) -> None:
         self.member = member
-        self.time = time
+        self.clock = clock
         self.pool = urllib3.HTTPConnectionPool(
             host, port, maxsize=connections, block=True
         )
@@ -49,7 +59,7 @@
         token: ids.Token | None,
     ) -> answers.Answer:
         """Return the server's answer, or a refusal with its verdict."""
-        left = request.deadline - self.time.now()
+        left = request.deadline - self.clock.now()
         if left <= 0:
             return answers.refusal(verdicts.Reason.DEADLINE, self.member)
         try:
@@ -64,15 +74,21 @@
             return self._lost(verdicts.Reason.BACKEND_LOST, error)
         return self._answer(response)
 
-    def reachable(self) -> bool:
-        """Tell whether the server still takes connections."""
-        try:
-            probe = socket.create_connection(
-                (self.pool.host, self.pool.port), CONNECT_TIMEOUT_S
-            )
-        except OSError:
-            return False
-        probe.close()
+    def stays_reachable(self) -> bool:
+        """Tell whether the server goes on taking connections.
+
+        Asked more than once: a process that dies closes its connections one
+        by one, and the one it listens on need not be the first.
+        """
+        for pause_s in PROBE_PAUSES_S:
+            time.sleep(pause_s)
+            try:
+                probe = socket.create_connection(
+                    (self.pool.host, self.pool.port), CONNECT_TIMEOUT_S
+                )
+            except OSError:
+                return False
+            probe.close()
         return True
 
     def close(self) -> None:
@@ -116,8 +132,13 @@
         refused = response.headers.get(REFUSED)
         if refused is not None:
             response.drain_conn()
+            why = (
+                verdicts.Reason.NOT_GRANTED
+                if refused == REFUSED_GRANT
+                else verdicts.Reason.SHED
+            )
             return answers.refusal(
-                verdicts.Reason.SHED,
+                why,
                 self.member,
                 retry_after_s=_seconds(response.headers.get("Retry-After")),
                 detail=refused,
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/crashes.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/crashes.py
@@ -6,12 +6,11 @@
 """
 
 import asyncio
-import collections.abc
 import contextlib
 import threading
 import typing
 
-from bronzepaddle import clocks, suspects
+from bronzepaddle import cells, clocks, suspects
 from bronzepaddle_peers import link, messages
 
 from bronzepaddle_node import state
@@ -19,11 +18,8 @@
 ALONE_WAIT_S: typing.Final = 0.25
 """Time that a suspect may hold ordinary work up to get the server alone."""
 
-SHARE_WAIT_S: typing.Final = 1.0
-
-
-class NotAloneError(Exception):
-    """Other work did not end in time for a suspect to run alone."""
+SHARE_WAIT_S: typing.Final = 2.0
+SHARE_TRIES: typing.Final = 3
 
 
 class Guard:
@@ -34,39 +30,32 @@
         self.together = 0
         self.alone = False
 
-    @contextlib.contextmanager
-    def beside_others(self) -> collections.abc.Iterator[None]:
-        """Hold while the dispatch of an ordinary request lasts."""
+    def enter(self, alone: bool) -> bool:
+        """Let a request pass; False if a suspect can't have the server."""
         with self.changed:
-            self.changed.wait_for(lambda: not self.alone)
-            self.together += 1
-        try:
-            yield
-        finally:
-            with self.changed:
-                self.together -= 1
-                self.changed.notify_all()
-
-    @contextlib.contextmanager
-    def by_itself(self) -> collections.abc.Iterator[None]:
-        """Hold while a suspect runs; raises ``NotAloneError``."""
-        with self.changed:
-            free = self.changed.wait_for(lambda: not self.alone, ALONE_WAIT_S)
-            if not free:
-                raise NotAloneError
+            if not alone:
+                self.changed.wait_for(lambda: not self.alone)
+                self.together += 1
+                return True
+            if not self.changed.wait_for(lambda: not self.alone, ALONE_WAIT_S):
+                return False
             self.alone = True
-            if not self.changed.wait_for(
+            free = self.changed.wait_for(
                 lambda: not self.together, ALONE_WAIT_S
-            ):
+            )
+            if not free:
                 self.alone = False
                 self.changed.notify_all()
-                raise NotAloneError
-        try:
-            yield
-        finally:
-            with self.changed:
+            return free
+
+    def leave(self, alone: bool) -> None:
+        """Count a request out."""
+        with self.changed:
+            if alone:
                 self.alone = False
-                self.changed.notify_all()
+            else:
+                self.together -= 1
+            self.changed.notify_all()
 
 
 class Sharing:
@@ -116,7 +105,15 @@
 
     async def _tell(self, notice: messages.SuspectNotice) -> None:
         calls = [
-            self.peers.suspect(member.address, notice)
+            self._tell_one(member.address, notice)
             for _, member in self.state.others()
         ]
-        await asyncio.gather(*calls, return_exceptions=True)
+        await asyncio.gather(*calls)
+
+    async def _tell_one(
+        self, at: cells.Address, notice: messages.SuspectNotice
+    ) -> None:
+        for _ in range(SHARE_TRIES):
+            with contextlib.suppress(link.PeerError):
+                await self.peers.suspect(at, notice)
+                return
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/duties.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/duties.py
@@ -147,7 +147,7 @@
             if view is None or not self.state.joined:
                 return
             gone = not view.cell.owns_anything(self.state.name)
-            if gone and not self.slots.total_in_flight():
+            if gone and not self.slots.table.total_in_flight():
                 break
             await self.state.time.sleep(TICK_S)
         await self._write_stopped()
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/entry.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/entry.py
@@ -154,11 +154,12 @@
         tries = 0
         while True:
             tries += 1
+            known = self.state.version
             attempt = self._try(request, found, upload)
             pause_s = self._pause(request, attempt.answer, upload, tries)
             if pause_s is None:
                 break
-            if not self._hold(pause_s):
+            if not self._hold(known, pause_s):
                 break
         took_s = time.monotonic() - began
         self._note(request, attempt, tries, took_s)
@@ -192,12 +193,15 @@
             case _:
                 typing.assert_never(again)
 
-    def _hold(self, pause_s: float) -> bool:
-        """Wait, unless too many callers' threads wait already."""
+    def _hold(self, known: ids.ObjectVersion, pause_s: float) -> bool:
+        """Wait for news of ownership, or for the pause before another try.
+
+        Unless too many callers' threads wait already: tell so at once.
+        """
         if not self.held.acquire(blocking=False):
             return False
         try:
-            time.sleep(pause_s)
+            self.state.wait_for_news(known, pause_s)
         finally:
             self.held.release()
         return True
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/membership.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/membership.py
@@ -54,7 +54,7 @@
             backend,
             writer,
             slots,
-            handover.HandOver(knowledge, writer, peers, slots),
+            handover.HandOver(knowledge, writer, peers, slots.table),
             entering,
             self.running,
         )
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/node.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/node.py
@@ -140,7 +140,7 @@
             lambda: _in_loop(loop, self._set_leaving, True),
             lambda: _in_loop(loop, self._set_leaving, False),
             self.budget.used_last_minute,
-            self.owner.total_in_flight,
+            self.owner.table.total_in_flight,
         )
         self.control = server.HttpServer(
             self.control_root,
@@ -189,7 +189,7 @@
             known = self.owner.server
             if known is not None:
                 await loop.run_in_executor(
-                    self.workers, known.orders.give, self.owner.grants()
+                    self.workers, known.orders.give, self.owner.table.grants()
                 )
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/peering.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/peering.py
@@ -65,5 +65,5 @@
         self, request: messages.WindowRequest
     ) -> messages.Done:
         """Keep windows for slots that are about to be owned here."""
-        self.slots.take_windows(request)
+        self.slots.table.take_windows(request)
         return messages.Done()
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/state.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/state.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import threading
 import typing
 
 import returns.result
@@ -79,6 +80,7 @@
         self.learners: list[Learn] = []
         self.bundle_learners: list[LearnBundle] = []
         self.changed = asyncio.Event()
+        self.news = threading.Condition()
 
     @property
     def name(self) -> ids.MemberId:
@@ -109,9 +111,16 @@
         self.vouching.learn(found.cell, now)
         for learn in self.learners:
             learn(found.cell)
+        with self.news:
+            self.news.notify_all()
         self.wake()
         return True
 
+    def wait_for_news(self, than: ids.ObjectVersion, timeout_s: float) -> None:
+        """Wait on a thread for a newer cell object, or for the time."""
+        with self.news:
+            self.news.wait_for(lambda: self.version > than, timeout_s)
+
     def adopt_document(self, document: bytes) -> bool:
         """Take a bundle's document, if it holds and its version is higher.
 
--- a/packages/bronzepaddle/src/bronzepaddle/problems.py
+++ b/packages/bronzepaddle/src/bronzepaddle/problems.py
@@ -57,6 +57,7 @@
     verdicts.Reason.PUSHBACK: "The owner of the key is turning work away",
     verdicts.Reason.TOO_LATE: "The request can't be served in time",
     verdicts.Reason.DRAINING: "The server is leaving",
+    verdicts.Reason.NOT_GRANTED: "The backend server knows of no grant",
     verdicts.Reason.SHED: "The backend server refused the request",
     verdicts.Reason.SUSPECT: "The request crashed its backend servers",
     verdicts.Reason.SUSPECT_WAITS: "The request may crash; it must wait",
--- a/packages/bronzepaddle/src/bronzepaddle/retries.py
+++ b/packages/bronzepaddle/src/bronzepaddle/retries.py
@@ -30,6 +30,7 @@
         verdicts.Reason.NOT_OWNER,
         verdicts.Reason.NO_OWNER,
         verdicts.Reason.NO_LEASE,
+        verdicts.Reason.NOT_GRANTED,
         verdicts.Reason.MOVING,
         verdicts.Reason.NO_BACKEND,
         verdicts.Reason.PEER_UNREACHABLE,
--- a/packages/bronzepaddle/src/bronzepaddle/verdicts.py
+++ b/packages/bronzepaddle/src/bronzepaddle/verdicts.py
@@ -38,6 +38,7 @@
     TOO_LATE = "too-late"
     DRAINING = "draining"
     SHED = "shed"
+    NOT_GRANTED = "not-granted"
     PUSHBACK = "pushback"
     SUSPECT = "suspect"
     SUSPECT_WAITS = "suspect-waits"
--- a/standins/src/bronzepaddle_standins/backend.py
+++ b/standins/src/bronzepaddle_standins/backend.py
@@ -193,12 +193,12 @@
         slot = int(environ["HTTP_BRONZEPADDLE_SLOT"])
         with self.lock:
             if int(token) < self.highest.get(slot, 0):
-                return "old token"
+                return dispatch.REFUSED_GRANT
             self.highest[slot] = int(token)
             if self.granted.get(slot) != int(token):
-                return "not granted"
+                return dispatch.REFUSED_GRANT
             if time.monotonic() >= self.granted_until:
-                return "grant is over"
+                return dispatch.REFUSED_GRANT
         return None
 
     def _run(
--- a/tests/integration/processes.py
+++ b/tests/integration/processes.py
@@ -75,7 +75,9 @@
         self.platform_url = _line(self.platform).split()[-1]
         (folder / "bundle.ini").write_text(BUNDLE, encoding="utf-8")
 
-    def add(self, name: str, service: str, zone: str = "a") -> Vm:
+    def add(
+        self, name: str, service: str, zone: str = "a", *backend: str
+    ) -> Vm:
         """Start one VM."""
         network = proxy.Proxy()
         network.start()
@@ -88,14 +90,18 @@
         )
         self.vms[name] = vm
         self.start_node(vm)
-        self.start_backend(vm)
+        self.start_backend(vm, *backend)
         return vm
 
-    def three(self) -> list[Vm]:
+    def three(self, *backend: str) -> list[Vm]:
         """Start three VMs with a keyed service, and wait for the spread."""
         names = ("n1", "n2", "n3")
         with concurrent.futures.ThreadPoolExecutor(len(names)) as threads:
-            vms = list(threads.map(lambda name: self.add(name, "lots"), names))
+            vms = list(
+                threads.map(
+                    lambda name: self.add(name, "lots", "a", *backend), names
+                )
+            )
         self.until_served("/lots/a")
         self.until_settled()
         return vms
--- a/tests/integration/test_ownership.py
+++ b/tests/integration/test_ownership.py
@@ -9,6 +9,7 @@
 import time
 import uuid
 
+import pytest
 from bronzepaddle_callers import exchange
 from bronzepaddle_standins import callers, proxy
 
@@ -88,8 +89,11 @@
     _heir_serves(fleet, vms[0], keys[vms[2].name], vms[2].name)
 
 
-def test_planned_stop_cuts_off_no_request(fleet: processes.Fleet) -> None:
-    stopped, asked, _ = fleet.three()
+@pytest.mark.parametrize("checks", ["--checks-tokens", "--trusts"])
+def test_planned_stop_cuts_off_no_request(
+    fleet: processes.Fleet, checks: str
+) -> None:
+    stopped, asked, _ = fleet.three(checks)
     stopping = threading.Event()
 
     def send(number: int) -> list[int]:
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -14,7 +14,7 @@
 
 from bronzepaddle import bundles, cells, ids, leases, options
 from bronzepaddle_backend import announcements
-from bronzepaddle_node import crashes, membership, owner, state
+from bronzepaddle_node import crashes, membership, owner, slots, state
 from bronzepaddle_peers import link, messages
 from bronzepaddle_platform import store, updates
 
@@ -325,10 +325,10 @@
         """Tell whether the process is frozen."""
         return not self.time.running.is_set()
 
-    def acts_for(self) -> collections.abc.Iterator[owner.Place]:
+    def acts_for(self) -> collections.abc.Iterator[slots.Place]:
         """Yield the slots for which the process would take a request."""
-        for place in self.owner.owned:
-            if self.owner.may_act(place):
+        for place in self.owner.table.owned:
+            if self.owner.table.may_act(place):
                 yield place
 
 
@@ -351,7 +351,7 @@
         self.cut: set[tuple[str, str]] = set()
         self.without_calls: set[str] = set()
         self.delay_s = 0.001
-        self.highest: dict[owner.Place, int] = {}
+        self.highest: dict[slots.Place, int] = {}
         self.seen_version = 0
 
     # What happens to members.
@@ -438,7 +438,7 @@
 
     def check(self) -> None:
         """Raise ``Violation`` when two act for one slot, or tokens fall."""
-        acting: dict[owner.Place, str] = {}
+        acting: dict[slots.Place, str] = {}
         for name, process in self.processes.items():
             if process.frozen:
                 continue
