--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/client.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/client.py
@@ -11,12 +11,13 @@
 CALL_TIMEOUT_S: typing.Final = 0.7
 """Bound on a control call: several of them must fit into a takeover."""
 
-_LOST: typing.Final = (
+BROKEN: typing.Final = (
     OSError,
     TimeoutError,
     grpclib.exceptions.GRPCError,
     grpclib.exceptions.StreamTerminatedError,
 )
+"""What a call raises when the peer or the way to it is lost."""
 
 
 _Reply = typing.TypeVar("_Reply")
@@ -118,6 +119,6 @@
         )
         try:
             reply: _Reply = await method(request, timeout=CALL_TIMEOUT_S)
-        except _LOST as error:
+        except BROKEN as error:
             raise link.PeerError(f"{name} to {to}: {error!r}") from error
         return reply
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/forwarding.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/forwarding.py
@@ -23,13 +23,6 @@
 GRACE_S: typing.Final = 0.5
 """Time beyond its deadline that a request has to bring its own refusal."""
 
-_BROKEN: typing.Final = (
-    OSError,
-    TimeoutError,
-    grpclib.exceptions.GRPCError,
-    grpclib.exceptions.StreamTerminatedError,
-)
-
 _Stream: typing.TypeAlias = typing.Any
 
 
@@ -117,7 +110,7 @@
                     await exchange.receive(stream)
                 finally:
                     sending.cancel()
-        except _BROKEN as error:
+        except client.BROKEN as error:
             exchange.broken(error)
         except asyncio.CancelledError:
             exchange.broken(TimeoutError("cancelled"))
--- a/packages/bronzepaddle/src/bronzepaddle/bundle_ini.py
+++ b/packages/bronzepaddle/src/bronzepaddle/bundle_ini.py
@@ -14,7 +14,7 @@
 
 import returns.result
 
-from bronzepaddle import bundles, ids
+from bronzepaddle import bundles, ids, ini
 
 MAX_SLOTS: typing.Final = 1 << 20
 DEFAULT_SLOTS: typing.Final = 256
@@ -77,11 +77,11 @@
     return returns.result.Success(found)
 
 
-class _Reader:
+class _Reader(ini.Reader):
     """Turns sections into a bundle and gathers every error on the way."""
 
     def __init__(self, parser: configparser.ConfigParser) -> None:
-        self.parser = parser
+        super().__init__(parser)
         self.errors: list[BundleError] = []
 
     def bundle(self) -> bundles.Bundle:
@@ -246,62 +246,6 @@
                         f"{prefix or '/'} belongs to service {other}",
                     )
 
-    def words(self, section: str, key: str) -> list[str]:
-        """Read a list of words."""
-        return self.text(section, key, "").replace(",", " ").split()
-
-    def text(self, section: str, key: str, default: str | None) -> str:
-        """Read a value; one without a default must be there."""
-        value = self.parser.get(section, key, fallback=None)
-        if value is not None:
-            return value.strip()
-        if default is None:
-            self.wrong("missing", section, key, "must be given")
-        return default or ""
-
-    def number(
-        self,
-        section: str,
-        key: str,
-        default: float | None,
-        least: float,
-        most: float,
-    ) -> float:
-        """Read a number within its bounds, both included."""
-        value = self.text(section, key, None if default is None else "")
-        if not value:
-            return least if default is None else default
-        try:
-            found = float(value)
-        except ValueError:
-            self.wrong("not-a-number", section, key, f"not a number: {value}")
-            return least
-        if not least <= found <= most:
-            self.wrong("out-of-range", section, key, f"from {least} to {most}")
-        return found
-
-    def whole(
-        self,
-        section: str,
-        key: str,
-        default: int | None,
-        least: int,
-        most: int,
-    ) -> int:
-        """Read a whole number within its bounds, both included."""
-        value = self.text(section, key, None if default is None else "")
-        if not value:
-            return least if default is None else default
-        if not re.fullmatch(r"[0-9]{1,20}", value):
-            self.wrong(
-                "not-a-number", section, key, f"not a whole number: {value}"
-            )
-            return least
-        found = int(value)
-        if not least <= found <= most:
-            self.wrong("out-of-range", section, key, f"from {least} to {most}")
-        return found
-
     def wrong(self, code: str, section: str, key: str, detail: str) -> None:
         """Note an error and go on."""
         self.errors.append(BundleError(code, section, key, detail))
--- a/packages/bronzepaddle/src/bronzepaddle/options.py
+++ b/packages/bronzepaddle/src/bronzepaddle/options.py
@@ -12,7 +12,7 @@
 
 import returns.result
 
-from bronzepaddle import ids, leases
+from bronzepaddle import ids, ini, leases
 
 SECTIONS: typing.Final = {
     "process": (
@@ -112,14 +112,14 @@
     return returns.result.Success(found)
 
 
-class _Reader:
+class _Reader(ini.Reader):
     """Turns sections into options and gathers every error on the way."""
 
     def __init__(
         self, path: pathlib.Path, parser: configparser.ConfigParser
     ) -> None:
         self.path = path
-        self.parser = parser
+        super().__init__(parser)
         self.errors: list[OptionsError] = []
 
     def options(self) -> Options:
@@ -172,7 +172,12 @@
             drift=self.number("lease", "drift", 0.05, 0.0, 0.5),
         )
         if times.heartbeat_s * 3 > times.lease_s:
-            self.wrong("lease", "heartbeat-s", "at most a third of lease-s")
+            self.wrong(
+                "too-long",
+                "lease",
+                "heartbeat-s",
+                "at most a third of lease-s",
+            )
         return times
 
     def check_names(self) -> None:
@@ -181,49 +186,29 @@
             known = SECTIONS.get(section)
             if known is None:
                 names = ", ".join(SECTIONS)
-                self.wrong(section, "", f"unknown section; one of {names}")
+                self.wrong(
+                    "unknown-section",
+                    section,
+                    "",
+                    f"unknown section; one of {names}",
+                )
                 continue
             for key in self.parser[section]:
                 if key not in known:
                     self.wrong(
-                        section, key, f"unknown key; one of {', '.join(known)}"
+                        "unknown-key",
+                        section,
+                        key,
+                        f"unknown key; one of {', '.join(known)}",
                     )
 
-    def text(self, section: str, key: str, default: str | None = None) -> str:
-        """Read a value; one without a default must be there."""
-        value = self.parser.get(section, key, fallback="").strip()
-        if not value and default is None:
-            self.wrong(section, key, "must be given")
-        return value or default or ""
-
-    def number(
-        self, section: str, key: str, default: float, least: float, most: float
-    ) -> float:
-        """Read a number within its bounds, both included."""
-        value = self.text(section, key, str(default))
-        try:
-            found = float(value)
-        except ValueError:
-            self.wrong(section, key, f"not a number: {value}")
-            return default
-        if not least <= found <= most:
-            self.wrong(section, key, f"from {least} to {most}, not {value}")
-        return found
-
-    def whole(
-        self, section: str, key: str, default: int, least: int, most: int
-    ) -> int:
-        """Read a whole number within its bounds, both included."""
-        found = self.number(section, key, default, least, most)
-        if found != int(found):
-            self.wrong(section, key, f"not a whole number: {found}")
-        return int(found)
-
     def flag(self, section: str, key: str, default: bool) -> bool:
         """Read yes or no."""
         value = self.text(section, key, "yes" if default else "no").lower()
         if value not in ("yes", "no"):
-            self.wrong(section, key, f"yes or no, not {value}")
+            self.wrong(
+                "not-yes-or-no", section, key, f"yes or no, not {value}"
+            )
         return value == "yes"
 
     def file(self, section: str, key: str) -> pathlib.Path | None:
@@ -239,7 +224,9 @@
         try:
             return path.read_bytes().strip()
         except OSError as error:
-            self.wrong(section, key, f"can't be read: {error.strerror}")
+            self.wrong(
+                "unreadable", section, key, f"can't be read: {error.strerror}"
+            )
             return b""
 
     def endpoint(self, section: str, key: str) -> Endpoint:
@@ -255,7 +242,7 @@
         self, section: str, key: str
     ) -> collections.abc.Iterator[Endpoint]:
         """Read a list of HOST:PORT."""
-        for word in self.text(section, key, "").replace(",", " ").split():
+        for word in self.words(section, key):
             yield self.one_endpoint(section, key, word)
 
     def one_endpoint(self, section: str, key: str, value: str) -> Endpoint:
@@ -263,10 +250,12 @@
         host, colon, port = value.rpartition(":")
         if not (host and colon and port.isdecimal() and int(port) < 65_536):
             if value:
-                self.wrong(section, key, f"HOST:PORT, not {value}")
+                self.wrong(
+                    "bad-endpoint", section, key, f"HOST:PORT, not {value}"
+                )
             return Endpoint("", 0)
         return Endpoint(host, int(port))
 
-    def wrong(self, section: str, key: str, detail: str) -> None:
+    def wrong(self, code: str, section: str, key: str, detail: str) -> None:
         """Note an error and go on."""
         self.errors.append(OptionsError(str(self.path), section, key, detail))
--- a/standins/src/bronzepaddle_standins/proxy.py
+++ b/standins/src/bronzepaddle_standins/proxy.py
@@ -52,6 +52,7 @@
     def stop(self) -> None:
         """Close everything."""
         self.set(Faults(cut=True))
+        asyncio.run_coroutine_threadsafe(_end_others(), self.loop).result()
         self.loop.call_soon_threadsafe(self.loop.stop)
         self.thread.join()
 
@@ -118,6 +119,14 @@
             writer.close()
 
 
+async def _end_others() -> None:
+    """Cancel every other task of this loop and wait until it has ended."""
+    others = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in others:
+        task.cancel()
+    await asyncio.gather(*others, return_exceptions=True)
+
+
 class _Datagrams(asyncio.DatagramProtocol):
     """Relays datagrams one way, as heartbeats need no way back."""
 
