Number heartbeats from a place drawn at random at each start

Cause: found on reading: numbers began at 0 in every run, while the fakes of the tests drew them at random. An echo of an earlier run's heartbeat that arrives late would count as a vouch for the new run, which nobody gave.

Ruled out: the incarnation check on receipt, as it concerns the sender of the echo, not whose heartbeat it echoes.

Conclusion: the hole is closed without a field more in each heartbeat.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -184,6 +184,7 @@
             view.members[name].incarnation,
             view.members[name].address,
             "",
+            0,
         ),
         leases.LeaseTimes(),
         clocks.BootClock(),
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/node.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/node.py
@@ -8,6 +8,7 @@
 import concurrent.futures
 import contextlib
 import random
+import secrets
 import socket
 import typing
 
@@ -29,6 +30,7 @@
 )
 
 CONTROL_THREADS: typing.Final = 4
+FIRST_SEQUENCE_BELOW: typing.Final = 1 << 40
 
 ANY_PORT_TRIES: typing.Final = 20
 """Ports tried until one is free for UDP and TCP alike."""
@@ -66,6 +68,7 @@
                 incarnation=ids.Incarnation(ids.new_id()),
                 address=cells.Address(advertised.host, advertised.port),
                 listens_at=f"{at.host}:{at.port}",
+                first_sequence=secrets.randbelow(FIRST_SEQUENCE_BELOW),
             ),
             self.settings.times,
             self.time,
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/state.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/state.py
@@ -21,7 +21,8 @@
 class Identity:
     """Who this process is.
 
-    ``address`` is where peers reach it, ``listens_at`` the port it bound.
+    ``address`` is where peers reach it, ``listens_at`` the port it bound;
+    ``first_sequence`` numbers its first heartbeat (see ``OwnerLease``).
     """
 
     name: ids.MemberId
@@ -30,6 +31,7 @@
     incarnation: ids.Incarnation
     address: cells.Address
     listens_at: str
+    first_sequence: int
 
 
 @dataclasses.dataclass(frozen=True)
@@ -72,7 +74,7 @@
         self.view: cells.Versioned | None = None
         self.bundle: InForce | None = None
         self.backend: announcements.Known | None = None
-        self.lease = leases.OwnerLease(times)
+        self.lease = leases.OwnerLease(times, identity.first_sequence)
         self.vouching = leases.Vouching(self.started)
         self.heard: dict[ids.MemberId, Heard] = {}
         self.joined = False
--- a/packages/bronzepaddle/src/bronzepaddle/leases.py
+++ b/packages/bronzepaddle/src/bronzepaddle/leases.py
@@ -44,13 +44,16 @@
 class OwnerLease:
     """How long this process may act as an owner.
 
-    Safe to read from any thread: readers see one float.
+    Heartbeats are numbered from ``first_sequence``, drawn at random at each
+    start: an echo of an earlier run's heartbeat that arrives late must not
+    match one of this run.  Safe to read from any thread: readers see one
+    float.
     """
 
-    def __init__(self, times: LeaseTimes) -> None:
+    def __init__(self, times: LeaseTimes, first_sequence: int) -> None:
         self.times = times
         self.valid_until = float("-inf")
-        self.sequence = 0
+        self.sequence = first_sequence
         self.membership = ids.MembershipVersion(0)
         self.sent: collections.OrderedDict[int, float] = (
             collections.OrderedDict()
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -273,12 +273,12 @@
                 incarnation=ids.Incarnation(f"{name}-{world.draw.random()}"),
                 address=cells.Address(name, 1),
                 listens_at=name,
+                first_sequence=world.first_sequence(),
             ),
             world.times,
             self.time,
         )
         self.state.lease.__dict__["clock_now"] = self.time.now
-        self.state.lease.sequence = world.draw.randrange(1 << 40)
         peers = FakeLink(world, name)
         sharing = crashes.Sharing(self.state, peers, world.loop, self.time)
         self.owner = owner.Owner(self.state, sharing)
@@ -354,6 +354,10 @@
         self.highest: dict[slots.Place, int] = {}
         self.seen_version = 0
 
+    def first_sequence(self) -> int:
+        """Return the number of a member's first heartbeat."""
+        return self.draw.randrange(1 << 40)
+
     # What happens to members.
 
     def start(self, name: str, rate: float | None = None) -> Process:
