Let no error end a member's endless tasks; typed answers for operators

Change: each step of duties and coordinator is guarded, its error logged as task-failed. The control port's answers have their types in the core, and the command line decodes them by these.

--- a/misc/capacity.py
+++ b/misc/capacity.py
@@ -43,6 +43,12 @@
         for way, values in path.items()
         for name, value in values.items()
     }
+    unavailable = json.loads((RESULTS / "unavailable.json").read_text())
+    found |= {
+        f"unavailable_{kind}_{name}": value
+        for kind, values in unavailable.items()
+        for name, value in values.items()
+    }
     for row in results["store"]:
         size = row.pop("members")
         found |= {f"store{size}_{name}": value for name, value in row.items()}
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/control.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/control.py
@@ -9,6 +9,7 @@
 import cherrypy
 import msgspec
 from bronzepaddle import cells, ids, routing
+from bronzepaddle import status as status_of
 from bronzepaddle_backend import announcements
 from bronzepaddle_callers import exchange
 
@@ -20,47 +21,6 @@
 Order: typing.TypeAlias = collections.abc.Callable[[], None]
 
 
-class MemberStatus(msgspec.Struct, frozen=True):
-    """One member as this process sees it; times in seconds."""
-
-    zone: ids.ZoneName
-    state: str
-    service: ids.ServiceName
-    weight: int
-    slots: int
-    heard_ago_s: float
-
-
-class Status(msgspec.Struct, frozen=True):
-    """What ``bronzepaddle status`` shows of one process."""
-
-    name: ids.MemberId
-    cell: ids.CellId
-    cell_version: ids.ObjectVersion
-    bundle_version: ids.BundleVersion
-    joined: bool
-    leaving: bool
-    lease_left_s: float
-    coordinator: ids.MemberId
-    term: int
-    store_calls_last_minute: int
-    in_flight: int
-    listens_at: str
-    members: dict[ids.MemberId, MemberStatus]
-
-
-class KeyExplanation(msgspec.Struct, frozen=True):
-    """Where a key would go now, and why."""
-
-    service: ids.ServiceName
-    key: str
-    slot: int
-    owner: ids.MemberId | None
-    token: int | None
-    cell_version: ids.ObjectVersion
-    detail: str
-
-
 class Control:
     """The CherryPy root of the control port."""
 
@@ -89,12 +49,12 @@
         cherrypy.serving.response.headers["Content-Type"] = metrics.MEDIA_TYPE
         return self.meters.page()
 
-    def status(self) -> Status:
+    def status(self) -> status_of.Status:
         """Return what this process knows."""
         known = self.state.view
         now = self.state.time.now()
         found = known.cell if known is not None else None
-        return Status(
+        return status_of.Status(
             name=self.state.name,
             cell=self.state.identity.cell,
             cell_version=self.state.version,
@@ -110,9 +70,11 @@
             members=self._members(found) if found else {},
         )
 
-    def _members(self, view: cells.Cell) -> dict[ids.MemberId, MemberStatus]:
+    def _members(
+        self, view: cells.Cell
+    ) -> dict[ids.MemberId, status_of.MemberStatus]:
         return {
-            name: MemberStatus(
+            name: status_of.MemberStatus(
                 zone=member.zone,
                 state=member.state.value,
                 service=member.service,
@@ -127,7 +89,7 @@
             for name, member in view.members.items()
         }
 
-    def explain_key(self, service: str, key: str) -> KeyExplanation:
+    def explain_key(self, service: str, key: str) -> status_of.KeyExplanation:
         """Return where a key would go."""
         name = ids.ServiceName(service)
         in_force = self.state.bundle
@@ -135,17 +97,17 @@
         view = self.state.view
         if known is None or not known.keyed or view is None:
             detail = "no such keyed service here"
-            return KeyExplanation(
+            return status_of.KeyExplanation(
                 name, key, -1, None, None, self.state.version, detail
             )
         slot = routing.slot_of(key, known.slots)
         grant = view.cell.grant(name, slot)
         if grant is None:
-            return KeyExplanation(
+            return status_of.KeyExplanation(
                 name, key, slot, None, None, view.version, "slot is unowned"
             )
         standing = view.cell.members[grant.owner].state.value
-        return KeyExplanation(
+        return status_of.KeyExplanation(
             name,
             key,
             slot,
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/coordinator.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/coordinator.py
@@ -58,16 +58,19 @@
         """Look at the cell again and again."""
         while True:
             await self.state.time.sleep(TICK_S)
-            view = self.state.view
-            mine = self.state.myself
-            if view is None or mine is None or not self.state.joined:
-                continue
-            if mine.state is cells.MemberState.SUSPENDED:
-                continue
-            if view.cell.coordinator == self.state.name:
-                await self._look_after(view.cell)
-            elif self._in_line(view.cell):
-                await self._take_term(view.cell)
+            await tasks.survived(self._look(), "coordinator")
+
+    async def _look(self) -> None:
+        view = self.state.view
+        mine = self.state.myself
+        if view is None or mine is None or not self.state.joined:
+            return
+        if mine.state is cells.MemberState.SUSPENDED:
+            return
+        if view.cell.coordinator == self.state.name:
+            await self._look_after(view.cell)
+        elif self._in_line(view.cell):
+            await self._take_term(view.cell)
 
     def _in_line(self, view: cells.Cell) -> bool:
         """Tell whether the coordinator is gone and it is our turn."""
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/duties.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/duties.py
@@ -44,7 +44,8 @@
         while True:
             await self.state.time.sleep(TICK_S)
             if self.state.joined and self.state.view is not None:
-                await self._look(self.state.view.cell)
+                step = self._look(self.state.view.cell)
+                await tasks.survived(step, "duties")
 
     async def _look(self, view: cells.Cell) -> None:
         self.slots.end_without_lease()
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/tasks.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/tasks.py
@@ -7,6 +7,21 @@
 from bronzepaddle import logs
 
 
+async def survived(
+    work: collections.abc.Coroutine[typing.Any, typing.Any, None], name: str
+) -> None:
+    """Run one step of an endless task, which no error may end.
+
+    A member whose task had ended would go on sending heartbeats, so nobody
+    would take its part over: the error is logged and the next step tries
+    again.
+    """
+    try:
+        await work
+    except Exception as error:
+        logs.task_failed(name, error)
+
+
 class Tasks:
     """Keeps what is running from being lost, and its errors from silence."""
 
--- a/packages/bronzepaddle-operators/src/bronzepaddle_operators/cli.py
+++ b/packages/bronzepaddle-operators/src/bronzepaddle_operators/cli.py
@@ -14,6 +14,7 @@
 import returns.result
 import urllib3
 from bronzepaddle import bundle_ini
+from bronzepaddle import status as status_of
 
 COMMANDS_GROUP: typing.Final = "bronzepaddle.commands"
 TIMEOUT_S: typing.Final = 3.0
@@ -66,22 +67,26 @@
 @_process
 def status(process: str) -> None:
     """Show what a process knows of its cell."""
-    known = _ask("GET", process, "status")
+    known = _status(process)
     click.echo(
-        f"{known['name']} in {known['cell']} at version "
-        f"{known['cell_version']}, bundle {known['bundle_version']}, "
-        f"lease {known['lease_left_s']:.1f} s, "
-        f"coordinator {known['coordinator']} (term {known['term']}), "
-        f"{known['store_calls_last_minute']} store calls last minute"
+        f"{known.name} in {known.cell} at version {known.cell_version}, "
+        f"bundle {known.bundle_version}, lease {known.lease_left_s:.1f} s, "
+        f"coordinator {known.coordinator} (term {known.term}), "
+        f"{known.store_calls_last_minute} store calls last minute"
     )
-    for name, member in sorted(known["members"].items()):
+    for name, member in sorted(known.members.items()):
         click.echo(
-            f"  {name:16} {member['zone']:10} {member['state']:10} "
-            f"{member['service'] or '-':14} {member['slots']:5} slots  "
-            f"heard {member['heard_ago_s']:.1f} s ago"
+            f"  {name:16} {member.zone:10} {member.state:10} "
+            f"{member.service or '-':14} {member.slots:5} slots  "
+            f"heard {member.heard_ago_s:.1f} s ago"
         )
 
 
+def _status(process: str) -> status_of.Status:
+    answer = _text("GET", process, "status")
+    return msgspec.json.decode(answer, type=status_of.Status)
+
+
 @main.command()
 @_process
 def drain(process: str) -> None:
@@ -107,24 +112,18 @@
 @_process
 def key(service: str, key: str, process: str) -> None:
     """Show where a key would go now, and why."""
-    found = _ask("GET", process, "explain", {"service": service, "key": key})
+    fields = {"service": service, "key": key}
+    found = msgspec.json.decode(
+        _text("GET", process, "explain", fields),
+        type=status_of.KeyExplanation,
+    )
     click.echo(
-        f"{found['service']} {found['key']}: owner {found['owner']}, "
-        f"token {found['token']}, cell version {found['cell_version']}; "
-        f"{found['detail']}"
+        f"{found.service} {found.key}: owner {found.owner}, "
+        f"token {found.token}, cell version {found.cell_version}; "
+        f"{found.detail}"
     )
 
 
-def _ask(
-    method: str,
-    process: str,
-    what: str,
-    fields: dict[str, str] | None = None,
-) -> typing.Any:
-    """Return the JSON that a process answers."""
-    return msgspec.json.decode(_text(method, process, what, fields))
-
-
 def _text(
     method: str,
     process: str,
