--- a/packages/bronzepaddle/src/bronzepaddle/options.py
+++ b/packages/bronzepaddle/src/bronzepaddle/options.py
@@ -26,7 +26,7 @@
     "control": ("listen",),
     "peers": ("listen", "advertise", "ask-first", "key-file"),
     "platform": ("url", "timeout-s", "calls-per-minute"),
-    "backend": ("checks-tokens", "slots", "connections", "announce-s"),
+    "backend": ("announce-s",),
     "lease": ("lease-s", "heartbeat-s", "silent-s", "drift"),
     "logs": ("file",),
 }
@@ -44,9 +44,6 @@
 class BackendOptions:
     """What is known of the backend server before it announces itself."""
 
-    checks_tokens: bool = False
-    slots: int = 9
-    connections: int = 120
     announce_s: float = 0.5
 
 
@@ -157,9 +154,6 @@
     def backend(self) -> BackendOptions:
         """Read [backend]."""
         return BackendOptions(
-            checks_tokens=self.flag("backend", "checks-tokens", False),
-            slots=self.whole("backend", "slots", 9, 1, 100_000),
-            connections=self.whole("backend", "connections", 120, 1, 100_000),
             announce_s=self.number("backend", "announce-s", 0.5, 0.05, 60.0),
         )
 
@@ -202,15 +196,6 @@
                         f"unknown key; one of {', '.join(known)}",
                     )
 
-    def flag(self, section: str, key: str, default: bool) -> bool:
-        """Read yes or no."""
-        value = self.text(section, key, "yes" if default else "no").lower()
-        if value not in ("yes", "no"):
-            self.wrong(
-                "not-yes-or-no", section, key, f"yes or no, not {value}"
-            )
-        return value == "yes"
-
     def file(self, section: str, key: str) -> pathlib.Path | None:
         """Read a path, counted from the folder of the settings."""
         value = self.text(section, key, "")
