--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -372,6 +372,9 @@
     async def lose(self, name: str) -> None:
         """End a member as if its VM was lost."""
         process = self.processes.pop(name)
+        # A frozen process can't end its tasks; they are cancelled before
+        # they take another step.
+        process.time.running.set()
         await process.member.stop()
 
     def freeze(self, name: str) -> None:
