--- a/tests/test_schedules.py
+++ b/tests/test_schedules.py
@@ -4,7 +4,8 @@
 
 import hypothesis
 import hypothesis.strategies
-from support import schedules, world
+import pytest
+from support import broken, schedules, world
 
 
 @hypothesis.settings(
@@ -21,3 +22,12 @@
     events = schedules.drawn(draw)
     hypothesis.note(str(events))
     world.tell(schedules.story(events), seed=1)
+
+
+def test_unconditional_write_is_caught() -> None:
+    events = schedules.drawn(random.Random(4))
+    with (
+        broken.applied("unconditional-write"),
+        pytest.raises(world.Violation),
+    ):
+        world.tell(schedules.story(events), seed=4)
