Name the type of what a member asks its bundle about

Cause: found on reading: the announcement passed as Any, and the bundle in force was read twice.

Change: the announcement's own type, one read. Behaviour stays as it is.

Conclusion: types clean, four cases of planned moves and losses pass.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/duties.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/duties.py
@@ -7,7 +7,8 @@
 
 import typing
 
-from bronzepaddle import bundles, cells, ids, options, placement
+from bronzepaddle import cells, ids, options, placement
+from bronzepaddle_backend import announcements
 from bronzepaddle_peers import messages
 
 from bronzepaddle_node import handover, joining, owner, state, tasks, writing
@@ -92,12 +93,12 @@
             return ids.ServiceName(""), 0, standing
         return known.announcement.service, known.announcement.slots, standing
 
-    def _serves(self, announced: typing.Any) -> bool:
+    def _serves(self, announced: announcements.Announcement) -> bool:
         """Tell whether the bundle in force has the announced service."""
-        if self.state.bundle is None:
+        in_force = self.state.bundle
+        if in_force is None:
             return False
-        rules: bundles.Bundle = self.state.bundle.rules
-        return announced.service in rules.services
+        return announced.service in in_force.rules.services
 
     def _record_is_true(self, mine: cells.Member) -> bool:
         return (mine.service, mine.weight, mine.state) == self._wanted()
