--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -232,7 +232,7 @@
     began = time.process_time()
     for datagram in sealed:
         knowledge.lease.next_heartbeat(knowledge.time.now())
-        heartbeat = datagrams.unseal(datagram, KEY)
+        heartbeat = datagrams.unseal(datagram, KEY, messages.Heartbeat)
         assert heartbeat is not None
         beats.receive(heartbeat)
     return (time.process_time() - began) * 1e6, len(sealed)
--- a/misc/check_imports.py
+++ b/misc/check_imports.py
@@ -13,13 +13,12 @@
 ROOT: typing.Final = pathlib.Path(__file__).parent.parent
 CORE: typing.Final = "bronzepaddle"
 PEERS: typing.Final = frozenset(
-    f"bronzepaddle_{name}"
-    for name in ("callers", "backend", "platform", "peers")
+    f"bronzepaddle_{name}" for name in ("callers", "backend", "store", "peers")
 )
 MAY_IMPORT: typing.Final = {
     CORE: frozenset[str](),
     **dict.fromkeys(PEERS, frozenset({CORE})),
-    "bronzepaddle_operators": frozenset({CORE, "bronzepaddle_platform"}),
+    "bronzepaddle_operators": frozenset({CORE, "bronzepaddle_store"}),
     "bronzepaddle_node": PEERS | {CORE},
     "bronzepaddle_standins": PEERS | {CORE, "bronzepaddle_node"},
 }
--- /dev/null
+++ b/packages/bronzepaddle-backend/src/bronzepaddle_backend/connections.py
@@ -0,0 +1,395 @@
+"""The connections to one run of the backend server beside this process.
+
+``Connections.send`` runs on a worker thread and brings one whole answer: a
+body is read to its end before anything is passed on, so that an answer that
+breaks off never looks complete and a connection is reused only after a
+whole answer of its own request.  A connection that showed anything odd is
+closed.  ``Wire`` holds the header names, which differ between deployments.
+"""
+
+import collections.abc
+import dataclasses
+import http.client
+import select
+import socket
+import threading
+import time
+import typing
+
+import urllib3
+from bronzepaddle import answers, ids, verdicts
+
+CONNECT_TIMEOUT_S: typing.Final = 0.5
+
+LEAST_TIMEOUT_S: typing.Final = 0.01
+"""A socket's timeout of 0 would mean not to wait at all."""
+
+REPEATABLE_IDLE_S: typing.Final = 4.0
+ONCE_IDLE_S: typing.Final = 1.0
+"""Idle time after which a connection is not reused for a request that must
+not be repeated: the server may be closing it, and the request be lost."""
+
+PROMISES: typing.Final = frozenset({408, 421, 429, 503})
+"""Statuses that a caller takes as the promise that nothing was run."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Wire:
+    """The headers that requests and answers of a backend server carry.
+
+    ``not_run`` marks an answer to a request that the server did not run,
+    ``signature`` its own answers; empty where a deployment has none.
+    """
+
+    request_id: str
+    deadline_ms: str
+    run: str
+    caller_service: str
+    not_run: str
+    signature: str
+
+    def own_names(self) -> frozenset[str]:
+        """Return the names that only this process sets, in lower case."""
+        names = (self.deadline_ms, self.run, self.caller_service)
+        return frozenset(name.lower() for name in names if name)
+
+
+@dataclasses.dataclass(frozen=True)
+class Outgoing:
+    """One request for the backend server; ``deadline`` by ``time_now``."""
+
+    request_id: ids.RequestId
+    caller_service: ids.ServiceName
+    run_id: str
+    method: str
+    target: str
+    headers: answers.Headers
+    body: bytes
+    deadline: float
+    idempotent: bool
+
+
+class Cancellation:
+    """Lets another thread break a request off."""
+
+    def __init__(self) -> None:
+        self.lock = threading.Lock()
+        self.cancelled = False
+        self.connection: urllib3.connection.HTTPConnection | None = None
+
+    def attach(self, connection: urllib3.connection.HTTPConnection) -> bool:
+        """Note the connection in use; False if cancelled already."""
+        with self.lock:
+            self.connection = connection
+            return not self.cancelled
+
+    def detach(self) -> None:
+        """Note that the connection is no longer this request's."""
+        with self.lock:
+            self.connection = None
+
+    def cancel(self) -> None:
+        """Break the request off: its server sees the connection close."""
+        with self.lock:
+            self.cancelled = True
+            found = self.connection
+            if found is None or found.sock is None:
+                return
+            try:
+                found.sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                # Closed by the other side at the same moment.
+                return
+
+
+class OddAnswerError(Exception):
+    """What came back is not a whole answer to the request."""
+
+
+@dataclasses.dataclass(frozen=True)
+class _Idle:
+    """A connection that may be reused, and since when it is idle."""
+
+    connection: urllib3.connection.HTTPConnection
+    since: float
+
+
+class Connections:
+    """Connections to one address; safe from any thread."""
+
+    def __init__(
+        self,
+        member: ids.MemberId,
+        host: str,
+        port: int,
+        wire: Wire,
+        time_now: collections.abc.Callable[[], float],
+    ) -> None:
+        self.member = member
+        self.host = host
+        self.port = port
+        self.wire = wire
+        self.time_now = time_now
+        self.lock = threading.Lock()
+        self.idle: list[_Idle] = []
+        self.closed = False
+
+    def send(
+        self, outgoing: Outgoing, cancellation: Cancellation
+    ) -> answers.Answer:
+        """Return the server's whole answer, or a refusal with its verdict."""
+        left_s = outgoing.deadline - self.time_now()
+        if left_s <= LEAST_TIMEOUT_S:
+            return self._refuse(verdicts.Reason.TOO_LATE)
+        try:
+            connection = self._connect(outgoing, left_s)
+        except OSError as error:
+            return self._refuse(verdicts.Reason.CONNECT_FAILED, error)
+        except urllib3.exceptions.HTTPError as error:
+            return self._refuse(verdicts.Reason.CONNECT_FAILED, error)
+        if not cancellation.attach(connection):
+            connection.close()
+            return self._refuse(verdicts.Reason.CANCELLED)
+        try:
+            return self._exchange(connection, outgoing, cancellation)
+        except TimeoutError as error:
+            connection.close()
+            return self._lost(verdicts.Reason.DEADLINE, error)
+        except urllib3.exceptions.TimeoutError as error:
+            connection.close()
+            return self._lost(verdicts.Reason.DEADLINE, error)
+        except OddAnswerError as error:
+            connection.close()
+            return self._lost(verdicts.Reason.TRUNCATED, error)
+        except (
+            urllib3.exceptions.HTTPError,
+            http.client.HTTPException,
+            OSError,
+            ValueError,
+        ) as error:
+            connection.close()
+            return self._lost(verdicts.Reason.BACKEND_LOST, error)
+        finally:
+            cancellation.detach()
+
+    def _connect(
+        self, outgoing: Outgoing, left_s: float
+    ) -> urllib3.connection.HTTPConnection:
+        """Return a kept connection that still looks well, or a new one."""
+        longest_s = REPEATABLE_IDLE_S if outgoing.idempotent else ONCE_IDLE_S
+        kept = self._kept(longest_s)
+        if kept is not None:
+            return kept
+        connection = urllib3.connection.HTTPConnection(
+            self.host, self.port, timeout=min(CONNECT_TIMEOUT_S, left_s)
+        )
+        connection.connect()
+        return connection
+
+    def _kept(
+        self, longest_s: float
+    ) -> urllib3.connection.HTTPConnection | None:
+        now = self.time_now()
+        while True:
+            with self.lock:
+                found = self.idle.pop() if self.idle else None
+            if found is None:
+                return None
+            if now - found.since < longest_s and _quiet(found.connection):
+                return found.connection
+            found.connection.close()
+
+    def _exchange(
+        self,
+        connection: urllib3.connection.HTTPConnection,
+        outgoing: Outgoing,
+        cancellation: Cancellation,
+    ) -> answers.Answer:
+        left_s = outgoing.deadline - self.time_now()
+        if left_s <= LEAST_TIMEOUT_S:
+            self._keep(connection)
+            return self._refuse(verdicts.Reason.TOO_LATE)
+        connection.timeout = left_s
+        connection.sock.settimeout(left_s)
+        connection.request(
+            outgoing.method,
+            outgoing.target,
+            body=outgoing.body or None,
+            headers=self._headers(outgoing, left_s),
+            preload_content=False,
+            decode_content=False,
+        )
+        response = connection.getresponse()
+        body = response.read(decode_content=False)
+        answer = self._judge(outgoing, response, body)
+        cancellation.detach()
+        if _reusable(response):
+            self._keep(connection)
+        else:
+            connection.close()
+        return answer
+
+    def _headers(
+        self, outgoing: Outgoing, left_s: float
+    ) -> urllib3.HTTPHeaderDict:
+        wire = self.wire
+        headers = urllib3.HTTPHeaderDict()
+        names = set()
+        for name, value in outgoing.headers:
+            headers.add(name, value)
+            names.add(name.lower())
+        headers[wire.request_id] = outgoing.request_id
+        headers[wire.deadline_ms] = str(max(1, int(left_s * 1000)))
+        headers[wire.run] = outgoing.run_id
+        headers[wire.caller_service] = outgoing.caller_service
+        for name in ("User-Agent", "Accept-Encoding"):
+            if name.lower() not in names:
+                # The library adds its own where the caller sent none.
+                headers[name] = urllib3.util.SKIP_HEADER
+        if not outgoing.body and outgoing.method not in ("GET", "HEAD"):
+            headers["Content-Length"] = "0"
+        return headers
+
+    def _judge(
+        self,
+        outgoing: Outgoing,
+        response: urllib3.BaseHTTPResponse,
+        body: bytes,
+    ) -> answers.Answer:
+        """Return the answer; raises ``OddAnswerError`` if it is not ours."""
+        wire, found = self.wire, response.headers
+        if found.get(wire.not_run) is not None or response.status == 421:
+            return answers.refusal(
+                verdicts.Reason.SHED
+                if response.status != 421
+                else verdicts.Reason.NOT_GRANTED,
+                self.member,
+                retry_after_s=seconds(found.get("Retry-After")),
+                detail=f"the server answered {response.status}, not run",
+            )
+        echoed = found.get(wire.request_id)
+        if echoed != outgoing.request_id:
+            raise OddAnswerError(f"the answer is to request {echoed}")
+        if found.get("Content-Encoding") is not None:
+            raise OddAnswerError("the answer's body is encoded")
+        signed = not wire.signature or found.get(wire.signature) is not None
+        if not signed and response.status < 300:
+            raise OddAnswerError("the answer is not signed")
+        if response.status in PROMISES:
+            raise OddAnswerError(f"status {response.status}, though it ran")
+        return answers.Answer(
+            status=response.status,
+            headers=answers.without_hop_by_hop(found.items()),
+            body=iter((body,)),
+            verdict=verdicts.Verdict.RAN,
+            reason=verdicts.Reason.SERVED,
+            server=self.member,
+        )
+
+    def order(
+        self, path: str, body: bytes, timeout_s: float
+    ) -> tuple[int, urllib3.HTTPHeaderDict]:
+        """Send an order by ``POST``; return status and headers.
+
+        Raises ``OrderLostError`` when it may or may not be carried out.
+        """
+        connection = self._kept(ONCE_IDLE_S)
+        try:
+            if connection is None:
+                connection = urllib3.connection.HTTPConnection(
+                    self.host, self.port, timeout=CONNECT_TIMEOUT_S
+                )
+                connection.connect()
+        except (OSError, urllib3.exceptions.HTTPError) as error:
+            raise OrderNotSentError(repr(error)) from error
+        try:
+            connection.sock.settimeout(timeout_s)
+            connection.request(
+                "POST",
+                path,
+                body=body,
+                headers={"Content-Type": "application/json"},
+                preload_content=False,
+            )
+            response = connection.getresponse()
+            response.read()
+        except (
+            urllib3.exceptions.HTTPError,
+            http.client.HTTPException,
+            OSError,
+            ValueError,
+        ) as error:
+            connection.close()
+            raise OrderLostError(repr(error)) from error
+        if _reusable(response):
+            self._keep(connection)
+        else:
+            connection.close()
+        return response.status, urllib3.HTTPHeaderDict(response.headers)
+
+    def _keep(self, connection: urllib3.connection.HTTPConnection) -> None:
+        with self.lock:
+            if not self.closed:
+                self.idle.append(_Idle(connection, self.time_now()))
+                return
+        connection.close()
+
+    def close(self) -> None:
+        """Close idle connections; those in use close after their answer."""
+        with self.lock:
+            self.closed = True
+            idle, self.idle = self.idle, []
+        for one in idle:
+            one.connection.close()
+
+    def _refuse(
+        self, why: verdicts.Reason, error: Exception | None = None
+    ) -> answers.Answer:
+        detail = "" if error is None else repr(error)
+        return answers.refusal(why, self.member, detail=detail)
+
+    def _lost(self, why: verdicts.Reason, error: Exception) -> answers.Answer:
+        return answers.refusal(
+            why,
+            self.member,
+            verdicts.Verdict.MAY_HAVE_RUN,
+            detail=repr(error),
+        )
+
+
+class OrderNotSentError(Exception):
+    """No byte of an order has reached the server."""
+
+
+class OrderLostError(Exception):
+    """An order has no answer: it may be carried out now, later or never."""
+
+
+def _quiet(connection: urllib3.connection.HTTPConnection) -> bool:
+    """Tell whether a kept connection is open and has nothing to read."""
+    if connection.sock is None:
+        return False
+    poll = select.poll()
+    poll.register(connection.sock, select.POLLIN)
+    return not poll.poll(0)
+
+
+def _reusable(response: urllib3.BaseHTTPResponse) -> bool:
+    """Tell whether the connection may carry another request."""
+    found = response.headers
+    framed = "content-length" in found or "transfer-encoding" in found
+    closing = found.get("Connection", "").lower() == "close"
+    return framed and not closing and response.version == 11
+
+
+def seconds(value: str | None) -> float | None:
+    """Return the seconds in a ``Retry-After``, None if it has none."""
+    try:
+        return None if value is None else float(value)
+    except ValueError:
+        return None
+
+
+def monotonic() -> float:
+    """Return the time that deadlines of requests are counted on."""
+    return time.monotonic()
--- a/packages/bronzepaddle-callers/src/bronzepaddle_callers/exchange.py
+++ b/packages/bronzepaddle-callers/src/bronzepaddle_callers/exchange.py
@@ -110,7 +110,7 @@
     if not target.startswith("/"):
         raise BadCallError("the request target is no path")
     path, _, query = target.partition("?")
-    length = _length(environ)
+    length = body_length(environ)
     own: dict[str, str] = {}
     passed: list[tuple[str, str]] = []
     for name, value in request.header_list:
@@ -129,11 +129,11 @@
         headers=answers.without_hop_by_hop(passed),
         own=own,
         length=length,
-        body=_chunks(environ["wsgi.input"], length),
+        body=chunks(environ["wsgi.input"], length),
     )
 
 
-def _length(environ: dict[str, typing.Any]) -> int | None:
+def body_length(environ: dict[str, typing.Any]) -> int | None:
     """Return the length of the body, None if it comes in chunks."""
     if "chunked" in environ.get("HTTP_TRANSFER_ENCODING", "").lower():
         return None
@@ -143,7 +143,7 @@
     return int(value)
 
 
-def _chunks(
+def chunks(
     stream: typing.Any, length: int | None
 ) -> collections.abc.Iterator[bytes]:
     """Yield the body of a request as it arrives."""
--- a/packages/bronzepaddle-callers/src/bronzepaddle_callers/server.py
+++ b/packages/bronzepaddle-callers/src/bronzepaddle_callers/server.py
@@ -13,7 +13,7 @@
 import cherrypy
 from bronzepaddle import options
 
-from bronzepaddle_callers import exchange
+from bronzepaddle_callers import exchange, intake
 
 BACKLOG: typing.Final = 512
 
@@ -41,9 +41,26 @@
     drain_s: float
 
 
+class _Gateway(cheroot.wsgi.Gateway_10):
+    """Lets applications see the caller's socket.
+
+    Once its server is closing, each answer ends its connection.
+    """
+
+    def get_environ(self) -> typing.Any:
+        """Return the WSGI environment of a request."""
+        environ = super().get_environ()  # type: ignore[no-untyped-call]
+        environ[intake.SOCKET] = self.req.conn.socket
+        if self.req.server.closing:
+            self.req.close_connection = True
+        return environ
+
+
 class QuietServer(cheroot.wsgi.Server):
     """Writes no log: a caller that hangs up is no error of ours."""
 
+    closing = False
+
     def error_log(
         self, msg: str = "", level: int = 20, traceback: bool = False
     ) -> None:
@@ -68,6 +85,7 @@
             timeout=math.ceil(limits.idle_s),
             shutdown_timeout=math.ceil(limits.drain_s),
         )
+        self.server.gateway = _Gateway
         self.server.max_request_header_size = limits.max_header_bytes
         self.thread: threading.Thread | None = None
 
@@ -79,6 +97,10 @@
         )
         self.thread.start()
 
+    def close_after_answers(self) -> None:
+        """Close each connection after its next answer."""
+        self.server.closing = True
+
     @property
     def address(self) -> options.Endpoint:
         """Return where the server listens."""
--- /dev/null
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/configuration.py
@@ -0,0 +1,120 @@
+"""Keeps the newest configuration in force in this process.
+
+It is watched in the store; a process that can't reach the store asks a peer
+whose status names a newer version.  The version in force never goes back.
+"""
+
+import collections.abc
+import typing
+
+from bronzepaddle import clocks, ids, logs, routes
+from bronzepaddle_peers import client, statuses, streams
+from bronzepaddle_store import store
+
+from bronzepaddle_node import tasks
+
+WATCH_S: typing.Final = 20.0
+RETRY_S: typing.Final = 0.3
+
+Decode: typing.TypeAlias = collections.abc.Callable[[bytes], routes.Table]
+"""Reads a configuration document; raises ``BadDocumentError``."""
+
+Learn: typing.TypeAlias = collections.abc.Callable[[routes.Table], None]
+
+
+class Configuration:
+    """The configuration of one process."""
+
+    def __init__(
+        self,
+        object_name: str,
+        objects: store.Store,
+        decode: Decode,
+        learners: collections.abc.Sequence[Learn],
+        peers: streams.Client,
+        time: clocks.Clock,
+    ) -> None:
+        self.object_name = object_name
+        self.objects = objects
+        self.decode = decode
+        self.learners = learners
+        self.peers = peers
+        self.time = time
+        self.table: routes.Table | None = None
+        self.document = b""
+        self.seen = ids.NO_VERSION
+        self.running = tasks.Tasks()
+        self.pulling = False
+
+    @property
+    def version(self) -> ids.BundleVersion:
+        """Return the version in force, 0 if there is none."""
+        if self.table is None:
+            return ids.BundleVersion(0)
+        return self.table.version
+
+    def adopt(self, document: bytes, source: str) -> None:
+        """Put a document in force if it holds and its version is higher."""
+        try:
+            table = self.decode(document)
+        except routes.BadDocumentError as error:
+            logs.bad_document(self.object_name, str(error))
+            return
+        if table.version <= self.version:
+            return
+        self.table = table
+        self.document = document
+        for learn in self.learners:
+            learn(table)
+        logs.in_force(table.version, source)
+
+    async def run(self) -> None:
+        """Follow the object in the store for ever."""
+        while True:
+            try:
+                found = await self._next()
+            except store.StoreError as error:
+                logs.dependency("store", False, str(error))
+                await self.time.sleep(RETRY_S)
+                continue
+            if found is None:
+                if self.seen == ids.NO_VERSION:
+                    await self.time.sleep(RETRY_S)
+                continue
+            self.seen = found.version
+            self.adopt(found.body, "store")
+
+    async def _next(self) -> store.StoredObject | None:
+        if self.seen == ids.NO_VERSION:
+            return await self.objects.get(self.object_name)
+        return await self.objects.watch(self.object_name, self.seen, WATCH_S)
+
+    def heard(self, status: statuses.Status) -> None:
+        """Fetch what a peer has if its version is newer."""
+        if status.table_version <= self.version or self.pulling:
+            return
+        self.pulling = True
+        self.running.start(self._pull(status), "pull")
+
+    async def _pull(self, status: statuses.Status) -> None:
+        try:
+            reply = await self.peers.pull_config(
+                status.address, statuses.ConfigRequest(self.version)
+            )
+            if reply.document:
+                self.adopt(reply.document, f"peer {status.sender}")
+        except client.BROKEN as error:
+            # The next status that names a newer version asks again.
+            logs.dependency(f"peer {status.sender}", False, repr(error))
+        finally:
+            self.pulling = False
+
+    def answer(self, request: statuses.ConfigRequest) -> statuses.ConfigReply:
+        """Answer a peer's request for a newer document."""
+        if self.version <= request.newer_than:
+            return statuses.ConfigReply(self.version, b"")
+        return statuses.ConfigReply(self.version, self.document)
+
+    async def stop(self) -> None:
+        """End what is running."""
+        await self.running.stop()
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/handover.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/handover.py
@@ -12,7 +12,7 @@
 
 from bronzepaddle import cells, ids, logs
 from bronzepaddle_peers import link, messages
-from bronzepaddle_platform import updates
+from bronzepaddle_store import updates
 
 from bronzepaddle_node import state, writing
 
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/joining.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/joining.py
@@ -10,7 +10,7 @@
 import typing
 
 from bronzepaddle import cells, ids, logs
-from bronzepaddle_platform import store, updates
+from bronzepaddle_store import store, updates
 
 from bronzepaddle_node import heartbeats, silence, state, writing
 
--- /dev/null
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/keeping.py
@@ -0,0 +1,469 @@
+"""Keeps the backend server's keys true to the ownership object.
+
+Runs in every process beside a server whose service is divided by key.  It
+reads the object again and again, which is what its lease rests on; grants
+the server what the object gives it, as soon as no earlier holder can act on
+it; releases what went to others and says so in the object; and one member of
+the service, the first by name, writes the plan for whoever was lost or came.
+"""
+
+import asyncio
+import collections.abc
+import concurrent.futures
+import dataclasses
+
+import msgspec
+from bronzepaddle import (
+    clocks,
+    ids,
+    keyplan,
+    keyranges,
+    logs,
+    routes,
+    storeleases,
+)
+from bronzepaddle_backend import connections, granting, servers
+from bronzepaddle_peers import statuses
+from bronzepaddle_store import store
+
+from bronzepaddle_node import keys, roster, tasks
+
+TICK_S = 0.1
+
+FIRST_PLAN_S = 3.0
+"""Time after the start in which members find each other before the first
+plan; a later correction would move keys."""
+
+LOST_S = 2.0
+"""Silence of a member after which its keys go to others."""
+
+RENEW_BELOW = 0.6
+"""Share of the longest hold below which a grant is renewed."""
+
+ORDER_TIMEOUT_S = 0.5
+RELEASE_TIMEOUT_S = 3.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Settings:
+    """What the keeping of keys is told; times in seconds.
+
+    ``most_hold_s`` bounds a grant's time at the server.
+    """
+
+    name: ids.MemberId
+    service: ids.ServiceName
+    times: storeleases.StoreLeaseTimes
+    most_hold_s: float
+    first_start: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Read:
+    """The ownership object as last read."""
+
+    version: ids.ObjectVersion
+    ownership: keyranges.Ownership | None
+
+
+class Keeper:
+    """The keeping of one server's keys."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        objects: store.Store,
+        tracker: servers.Tracker,
+        held: keys.HeldKeys,
+        known: roster.Roster,
+        orders: collections.abc.Callable[[], granting.Orders | None],
+        changed: collections.abc.Callable[[], None],
+        time: clocks.Clock,
+    ) -> None:
+        self.settings = settings
+        self.objects = objects
+        self.tracker = tracker
+        self.held = held
+        self.roster = known
+        self.orders = orders
+        self.changed = changed
+        self.time = time
+        self.lease = storeleases.StoreLease(settings.times)
+        self.read: Read | None = None
+        self.read_at = float("-inf")
+        self.started = time.now()
+        self.learned: dict[ids.Token, float] = {}
+        self.doubt_until = float("-inf")
+        self.releasing: set[tuple[int, int, ids.Token]] = set()
+        self.poked = asyncio.Event()
+        self.running = tasks.Tasks()
+        self.thread = concurrent.futures.ThreadPoolExecutor(
+            1, thread_name_prefix="grants"
+        )
+        self.releases = concurrent.futures.ThreadPoolExecutor(
+            4, thread_name_prefix="releases"
+        )
+
+    @property
+    def version(self) -> ids.ObjectVersion:
+        """Return the version of the object as last read."""
+        return ids.NO_VERSION if self.read is None else self.read.version
+
+    @property
+    def object_name(self) -> str:
+        """Return the name of the ownership object in the store."""
+        return f"ownership/{self.settings.service}"
+
+    def poke(self) -> None:
+        """Read again at once: a peer knows a newer version."""
+        self.read_at = float("-inf")
+        self.poked.set()
+
+    async def run(
+        self, table: collections.abc.Callable[[], routes.Table | None]
+    ) -> None:
+        """Keep the keys for ever, while the service is divided by key."""
+        while True:
+            found = table()
+            rules = found and found.services.get(self.settings.service)
+            if rules and rules.keyed:
+                await tasks.survived(self._step(), "keys")
+            try:
+                async with asyncio.timeout(TICK_S):
+                    await self.poked.wait()
+            except TimeoutError:
+                continue
+            self.poked.clear()
+
+    async def _step(self) -> None:
+        now = self.time.now()
+        if now - self.read_at >= self.settings.times.read_every_s:
+            await self._read()
+        if self.read is None:
+            return
+        ownership = self.read.ownership
+        if ownership is not None:
+            await self._follow(ownership)
+        await self._plan(ownership)
+
+    # The object.
+
+    async def _read(self) -> None:
+        sent_at = self.time.now()
+        self.read_at = sent_at
+        try:
+            found = await self.objects.get(self.object_name)
+        except store.StoreError as error:
+            logs.dependency("store", False, str(error))
+            return
+        if found is None:
+            self._adopt(Read(ids.NO_VERSION, None), sent_at)
+            return
+        try:
+            ownership = keyranges.decode(found.body)
+        except msgspec.DecodeError as error:
+            logs.bad_document(self.object_name, str(error))
+            return
+        self._adopt(Read(found.version, ownership), sent_at)
+
+    def _adopt(self, read: Read, sent_at: float) -> None:
+        """Take a read in: every range of ours is a claim from now on."""
+        if read.version < self.version:
+            return
+        changed = read.version != self.version
+        self.read = read
+        self.lease.renew(sent_at)
+        if read.ownership is None:
+            return
+        now = self.time.now()
+        tokens = {
+            one.token for one in read.ownership.owned_by(self.settings.name)
+        }
+        self.learned = {
+            token: self.learned.get(token, now) for token in tokens
+        }
+        if changed:
+            self.changed()
+
+    async def _write(self, after: keyranges.Ownership) -> bool:
+        """Write the next version, if what was read is still the newest."""
+        if self.read is None:
+            return False
+        replaces = self.read.version
+        sent_at = self.time.now()
+        try:
+            version = await self.objects.put(
+                self.object_name, keyranges.encode(after), replaces
+            )
+        except store.StoreError as error:
+            # Whatever became of it, the next read shows.
+            self.read_at = float("-inf")
+            logs.write_failed(self.object_name, repr(error))
+            return False
+        self._adopt(Read(version, after), sent_at)
+        return True
+
+    # The server's keys.
+
+    async def _follow(self, ownership: keyranges.Ownership) -> None:
+        """Bring the server's keys in line with what was read."""
+        now = self.time.now()
+        run = self.held.run
+        if not run:
+            return
+        mine = ownership.owned_by(self.settings.name)
+        if any(one.holder.run != run for one in mine):
+            if self.tracker.ready(now):
+                me = keyranges.Holder(self.settings.name, run)
+                after = keyranges.restarted(ownership, me)
+                if after is not None and await self._write(after):
+                    return
+            mine = [one for one in mine if one.holder.run == run]
+        self._drop(ownership, mine)
+        for one in mine:
+            await self._hold(one)
+        await self._settle()
+
+    def _drop(
+        self,
+        ownership: keyranges.Ownership,
+        mine: list[keyranges.Range],
+    ) -> None:
+        """Stop using what is not ours any more, and release it."""
+        before = self.held.ranges
+        kept = [
+            keys.Held(one.first, one.last, one.token, old.until)
+            for one in mine
+            for old in before
+            if old.covers(one.first, one.last, one.token)
+        ]
+        if kept == before:
+            return
+        self.held.set(kept)
+        for old in before:
+            for new in ownership.ranges:
+                if old.first <= new.last and new.first <= old.last:
+                    self._release_replaced(old, new)
+        self.changed()
+
+    def _release_replaced(self, old: keys.Held, new: keyranges.Range) -> None:
+        """Release the part of an old grant that a new one has replaced."""
+        if new.token == old.token:
+            return
+        first, last = max(old.first, new.first), min(old.last, new.last)
+        place = (first, last, old.token)
+        if place in self.releasing:
+            return
+        self.releasing.add(place)
+        self.running.start(self._release(place, new), "release")
+
+    async def _release(
+        self, place: tuple[int, int, ids.Token], new: keyranges.Range
+    ) -> None:
+        """Take keys back from the server and let the next owner know."""
+        first, last, token = place
+        try:
+            orders = self.orders()
+            if orders is None:
+                return
+            outcome = await asyncio.get_running_loop().run_in_executor(
+                self.releases,
+                lambda: orders.release(first, last, token, RELEASE_TIMEOUT_S),
+            )
+            logs.keys_released(first, last, token, outcome.detail)
+            if not outcome.done or self.time.now() < self.doubt_until:
+                return
+            await self._mark_released(place, new, outcome.handover)
+        except (
+            connections.OrderLostError,
+            connections.OrderNotSentError,
+        ) as error:
+            logs.order_failed("release", first, last, repr(error))
+        finally:
+            self.releasing.discard(place)
+
+    async def _mark_released(
+        self,
+        place: tuple[int, int, ids.Token],
+        new: keyranges.Range,
+        handover: str,
+    ) -> None:
+        """Write that an earlier grant is over, where it was replaced.
+
+        Only the grant that replaced ours directly: between ours and a later
+        one another member may have held the keys.
+        """
+        first, last, token = place
+        until = self.time.now() + self.settings.times.wait_s
+        while self.time.now() < until:
+            read = self.read
+            if read is None or read.ownership is None:
+                return
+            after = read.ownership
+            for one in read.ownership.ranges:
+                whole = first <= one.first and one.last <= last
+                if whole and one.after == token:
+                    after = (
+                        keyranges.released(
+                            after, one.first, one.last, one.token, handover
+                        )
+                        or after
+                    )
+            if after is read.ownership or await self._write(after):
+                return
+            await self._read()
+
+    async def _hold(self, one: keyranges.Range) -> None:
+        """Grant one range to the server, or renew it, where it is time."""
+        now = self.time.now()
+        times = self.settings.times
+        learned_at = self.learned.get(one.token, now)
+        if not one.released and now < learned_at + times.wait_s:
+            return
+        hold_s = self.lease.hold_s(now, self.settings.most_hold_s)
+        old = next(
+            (
+                held
+                for held in self.held.ranges
+                if held.covers(one.first, one.last, one.token)
+            ),
+            None,
+        )
+        if old is not None and old.until - now > RENEW_BELOW * times.lease_s:
+            return
+        if hold_s <= 0 or (old is not None and now + hold_s <= old.until):
+            return
+        await self._grant(one, hold_s)
+
+    async def _grant(self, one: keyranges.Range, hold_s: float) -> None:
+        orders = self.orders()
+        if orders is None:
+            return
+        run = self.held.run
+        given = granting.KeyGrant(
+            one.first, one.last, one.token, hold_s, one.handover
+        )
+        sent_at = self.time.now()
+        try:
+            outcome = await asyncio.get_running_loop().run_in_executor(
+                self.thread, orders.grant, given
+            )
+        except connections.OrderNotSentError as error:
+            logs.order_failed("grant", one.first, one.last, repr(error))
+            return
+        except connections.OrderLostError as error:
+            self.doubt_until = max(
+                self.doubt_until,
+                sent_at + hold_s * (1 + self.settings.times.drift),
+            )
+            logs.order_failed("grant", one.first, one.last, repr(error))
+            return
+        if not outcome.done:
+            logs.order_failed("grant", one.first, one.last, outcome.detail)
+            self.poke()
+            return
+        if run == self.held.run and self._still_ours(one):
+            self._note_held(one, sent_at + hold_s)
+
+    def _still_ours(self, one: keyranges.Range) -> bool:
+        """Tell whether the object still gives a range to us."""
+        if self.read is None or self.read.ownership is None:
+            return False
+        return any(
+            now.token == one.token
+            and now.first <= one.first
+            and one.last <= now.last
+            for now in self.read.ownership.owned_by(self.settings.name)
+        )
+
+    def _note_held(self, one: keyranges.Range, until: float) -> None:
+        others = [
+            held
+            for held in self.held.ranges
+            if held.last < one.first or one.last < held.first
+        ]
+        new = len(others) == len(self.held.ranges)
+        fresh = keys.Held(one.first, one.last, one.token, until)
+        self.held.set([*others, fresh])
+        if new:
+            self.changed()
+
+    async def _settle(self) -> None:
+        """Write that the wait for earlier holders is over.
+
+        A later start of this process then need not wait again.
+        """
+        if self.read is None or self.read.ownership is None:
+            return
+        now = self.time.now()
+        after = self.read.ownership
+        for one in after.owned_by(self.settings.name):
+            learned_at = self.learned.get(one.token, now)
+            waited = now >= learned_at + self.settings.times.wait_s
+            if (
+                one.released
+                or not waited
+                or not self.held.holds(one.first, now)
+            ):
+                continue
+            after = (
+                keyranges.released(after, one.first, one.last, one.token)
+                or after
+            )
+        if after is not self.read.ownership:
+            await self._write(after)
+
+    # The plan.
+
+    async def _plan(self, ownership: keyranges.Ownership | None) -> None:
+        """Write the next plan, if that is for this member to do."""
+        now = self.time.now()
+        early = now - self.started < FIRST_PLAN_S
+        if early and (ownership is not None or self.settings.first_start):
+            return
+        if not self.lease.holds(now) or not self._plans(now):
+            return
+        after = keyplan.plan(
+            ownership,
+            self.settings.service,
+            list(self._standings(now)),
+        )
+        if after is not None and await self._write(after):
+            logs.planned(self.settings.service, after)
+
+    def _plans(self, now: float) -> bool:
+        """Tell whether this is the first live member by name."""
+        alive = [
+            peer.status.sender
+            for peer in self.roster.of_service(self.settings.service)
+            if self.roster.alive(peer, now) and not peer.status.leaving
+        ]
+        return not alive or min(alive) == self.settings.name
+
+    def _standings(
+        self, now: float
+    ) -> collections.abc.Iterator[keyplan.Standing]:
+        for peer in self.roster.of_service(self.settings.service):
+            status = peer.status
+            alive = self.roster.alive(peer, now)
+            ready = status.state is statuses.ServerState.READY
+            silent_s = (
+                0.0
+                if status.sender == self.settings.name
+                else now - peer.heard_at
+            )
+            yield keyplan.Standing(
+                keyranges.Holder(status.sender, status.run),
+                usable=alive and ready and not status.leaving,
+                lost=silent_s > LOST_S
+                or (
+                    status.state is statuses.ServerState.DRAINING
+                    and not status.leaving
+                ),
+            )
+
+    async def stop(self) -> None:
+        """End what is running."""
+        await self.running.stop()
+        self.thread.shutdown(wait=False, cancel_futures=True)
+        self.releases.shutdown(wait=False, cancel_futures=True)
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/main.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/main.py
@@ -1,6 +1,7 @@
 """The ``bronzepaddled`` binary: one process beside one backend server."""
 
 import asyncio
+import os
 import pathlib
 import signal
 import sys
@@ -9,9 +10,9 @@
 import click
 import eliot
 import returns.result
-from bronzepaddle import options
+from bronzepaddle import logs, options, sidecar_options
 
-from bronzepaddle_node import node
+from bronzepaddle_node import node, sidecar
 
 BAD_SETTINGS_STATUS: typing.Final = 2
 
@@ -25,6 +26,9 @@
 )
 def main(config: pathlib.Path) -> None:
     """Run one process of the system until SIGTERM or SIGINT."""
+    if sidecar_options.is_for(config):
+        _run_sidecar(config)
+        return
     match options.load(config):
         case returns.result.Success(settings):
             asyncio.run(_run(settings))
@@ -34,6 +38,34 @@
             sys.exit(BAD_SETTINGS_STATUS)
 
 
+def _run_sidecar(config: pathlib.Path) -> None:
+    """Run a process whose leases rest on the platform's store."""
+    match sidecar_options.load(config):
+        case returns.result.Success(settings):
+            eliot.to_file(sys.stdout)
+            asyncio.run(_serve_until_told(settings))
+            # Threads that wait for a caller or a server would hold up the
+            # end; what they wait for has had its time.
+            sys.stdout.flush()
+            os._exit(0)
+        case returns.result.Failure(errors):
+            for error in errors:
+                click.echo(str(error), err=True)
+            sys.exit(BAD_SETTINGS_STATUS)
+
+
+async def _serve_until_told(settings: sidecar_options.SidecarOptions) -> None:
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, logs.process, "reload", "")
+    process = sidecar.Sidecar(settings)
+    await process.start()
+    await stopping.wait()
+    await process.stop()
+
+
 async def _run(settings: options.Options) -> None:
     """Run until a signal asks for the end, then leave in good order."""
     _open_log(settings)
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/membership.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/membership.py
@@ -8,7 +8,7 @@
 
 from bronzepaddle import cells, options
 from bronzepaddle_peers import link
-from bronzepaddle_platform import store
+from bronzepaddle_store import store
 
 from bronzepaddle_node import (
     coordinator,
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/node.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/node.py
@@ -9,7 +9,6 @@
 import contextlib
 import random
 import secrets
-import socket
 import typing
 
 import grpclib.server
@@ -17,12 +16,13 @@
 from bronzepaddle_backend import announcements, orders
 from bronzepaddle_callers import exchange, server
 from bronzepaddle_peers import client, datagrams, forwarding, messages, service
-from bronzepaddle_platform import http_store
+from bronzepaddle_store import calls, http_store
 
 from bronzepaddle_node import (
     control,
     crashes,
     entry,
+    listening,
     membership,
     metrics,
     owner,
@@ -43,7 +43,7 @@
         self.settings = settings
         self.time: clocks.Clock = clocks.BootClock()
         self.channels = client.Channels()
-        self.budget = http_store.CallBudget(settings.platform_calls_per_minute)
+        self.budget = calls.CallBudget(settings.platform_calls_per_minute)
         self.objects = http_store.HttpStore(
             settings.platform_url, settings.platform_timeout_s, self.budget
         )
@@ -99,10 +99,12 @@
         tries = ANY_PORT_TRIES if wanted.port == 0 else 1
         while True:
             tries -= 1
-            udp = datagrams.Datagrams(self.settings.peer_key, self._heard)
+            udp = datagrams.Datagrams(
+                self.settings.peer_key, messages.Heartbeat, self._heard
+            )
             port = await udp.listen(wanted.host, wanted.port)
             try:
-                self.tcp = _tcp_socket(wanted.host, port)
+                self.tcp = listening.tcp_socket(wanted.host, port)
             except OSError:
                 udp.close()
                 if not tries:
@@ -232,24 +234,6 @@
         self.meters.close()
 
 
-def _tcp_socket(host: str, port: int) -> socket.socket:
-    """Return a bound TCP socket; raises ``OSError``.
-
-    Its protocol is named, because asyncio turns Nagle's algorithm off only
-    for sockets that say they are TCP; otherwise each forwarded request waits
-    some 40 ms for a delayed acknowledgement.
-    """
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    found = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-    found.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    try:
-        found.bind((host, port))
-    except OSError:
-        found.close()
-        raise
-    return found
-
-
 def _suspended(view: cells.Cell) -> set[ids.MemberId]:
     """Return the members that no answer is to be awaited from."""
     return {
--- /dev/null
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
@@ -0,0 +1,361 @@
+"""Brings a caller's request to a server that may run it, and its answer back.
+
+Finds the route in the table in force, chooses the process beside a server of
+the route's service (the one that holds the key, where there is one), and
+sends the request there, at most one hop away.  A refusal that certainly did
+not run is tried elsewhere; anything else only if the route allows to repeat
+it, within its bound of servers and the budget of second sends.  One task for
+each request, on the event loop.
+"""
+
+import asyncio
+import collections.abc
+import dataclasses
+import random
+import socket
+import typing
+
+from bronzepaddle import (
+    answers,
+    choosing,
+    clocks,
+    ids,
+    logs,
+    retries,
+    routes,
+    verdicts,
+)
+from bronzepaddle_callers import intake
+from bronzepaddle_peers import exchanges, streams
+
+from bronzepaddle_node import roster, serving
+
+LATE_MARGIN_S: typing.Final = 0.02
+"""Time kept from a request's deadline for the way of its answer."""
+
+DEFAULT_TIME_S: typing.Final = 10.0
+"""Deadline of a request whose caller names none."""
+
+PLACE_PAUSE_S: typing.Final = 0.05
+"""Pause before a key's owner is looked for again."""
+
+PLACE_SHARE: typing.Final = 0.3
+"""Share of a route's target time that may go into waiting for an owner."""
+
+RETRY_AFTER_S: typing.Final = 0.5
+"""Time in which a lost server or key usually has another place."""
+
+
+@dataclasses.dataclass
+class _Progress:
+    """One request on its way; ``deadline`` by this process's clock.
+
+    ``reached`` counts the servers that may have begun it, ``tried`` names
+    the processes that refused it, ``place_until`` ends the wait for an
+    owner of its key.
+    """
+
+    arrival: intake.Arrival
+    table: routes.Table
+    route: routes.Route
+    service: ids.ServiceName
+    deadline: float
+    place_until: float
+    keyed: bool
+    tries: int = 0
+    reached: int = 0
+    tried: set[ids.MemberId] = dataclasses.field(default_factory=set)
+
+
+class Router:
+    """The callers' side of one process."""
+
+    def __init__(
+        self,
+        name: ids.MemberId,
+        caller_service: ids.ServiceName,
+        known: roster.Roster,
+        local: serving.Serving,
+        peers: streams.Client,
+        budgets: retries.Budgets,
+        time: clocks.Clock,
+        draw: random.Random,
+    ) -> None:
+        self.name = name
+        self.caller_service = caller_service
+        self.roster = known
+        self.local = local
+        self.peers = peers
+        self.budgets = budgets
+        self.time = time
+        self.draw = draw
+        self.table: routes.Table | None = None
+        self.splitter = routes.Splitter()
+        self.in_flight = 0
+
+    def learn_table(self, table: routes.Table) -> None:
+        """Route by a new table from now on."""
+        self.table = table
+
+    async def serve(self, arrival: intake.Arrival) -> answers.Answer:
+        """Return the answer to one request, in its time."""
+        self.in_flight += 1
+        try:
+            return await self._until_hung_up(arrival)
+        finally:
+            self.in_flight -= 1
+
+    async def _until_hung_up(self, arrival: intake.Arrival) -> answers.Answer:
+        """Serve a request; give it up when the caller closes."""
+        serving_it = asyncio.ensure_future(self._serve(arrival))
+        watch = _HangUp(arrival.socket, serving_it.cancel)
+        try:
+            return await serving_it
+        except asyncio.CancelledError:
+            if not watch.happened:
+                raise
+            return self._refuse(
+                verdicts.Reason.CANCELLED, verdicts.Verdict.MAY_HAVE_RUN
+            )
+        finally:
+            watch.end()
+
+    async def _serve(self, arrival: intake.Arrival) -> answers.Answer:
+        table = self.table
+        if table is None:
+            return self._refuse(
+                verdicts.Reason.NO_BUNDLE, retry_after_s=RETRY_AFTER_S
+            )
+        route = routes.find(table, arrival.host, arrival.path)
+        if route is None:
+            return self._refuse(verdicts.Reason.UNKNOWN_NAME)
+        service = self.splitter.pick(table, route)
+        if service is None:
+            return self._refuse(verdicts.Reason.NO_BACKEND)
+        rules = table.services.get(service)
+        keyed = rules is not None and rules.keyed
+        if keyed and not 0 <= arrival.key < routes.KEY_COUNT:
+            return self._refuse(verdicts.Reason.NO_KEY)
+        began = self.time.now()
+        left_s = min(arrival.time_left_s or DEFAULT_TIME_S, route.timeout_s)
+        progress = _Progress(
+            arrival=arrival,
+            table=table,
+            route=route,
+            service=service,
+            deadline=began + left_s - LATE_MARGIN_S,
+            place_until=began + PLACE_SHARE * min(route.target_s, left_s),
+            keyed=keyed,
+        )
+        self.budgets.earn(service)
+        answer = await self._until_done(progress)
+        if answer.reason is not verdicts.Reason.SERVED:
+            took_s = self.time.now() - began
+            logs.not_served(
+                arrival.request_id, route.name, answer, progress.tries, took_s
+            )
+        return answer
+
+    async def _until_done(self, progress: _Progress) -> answers.Answer:
+        """Try until there is an answer or no try is left."""
+        while True:
+            answer = await self._try(progress)
+            pause_s = self._pause(progress, answer)
+            if pause_s is None:
+                return answer
+            await self.time.sleep(pause_s)
+
+    def _pause(
+        self, progress: _Progress, answer: answers.Answer
+    ) -> float | None:
+        """Return the pause before another try, None for no other."""
+        now = self.time.now()
+        match answer.verdict:
+            case verdicts.Verdict.RAN:
+                return None
+            case verdicts.Verdict.MAY_HAVE_RUN:
+                again = (
+                    progress.route.idempotent
+                    and progress.reached < progress.route.most_sends
+                    and answer.reason is not verdicts.Reason.DEADLINE
+                    and now < progress.deadline
+                )
+                if again and self.budgets.spend(progress.service):
+                    return 0.0
+                return None
+            case verdicts.Verdict.NOT_RUN:
+                return self._pause_not_run(progress, answer, now)
+            case never:
+                typing.assert_never(never)
+
+    def _pause_not_run(
+        self, progress: _Progress, answer: answers.Answer, now: float
+    ) -> float | None:
+        """Return the pause before a request that did not run is tried again.
+
+        Where a key moves, its next owner is waited for a while; a server
+        with no room is passed over for another that may have some.
+        """
+        if answer.reason in _PLACE_REASONS and progress.keyed:
+            if now + PLACE_PAUSE_S > progress.place_until:
+                return None
+            progress.tried.clear()
+            return PLACE_PAUSE_S
+        if progress.keyed or answer.reason is verdicts.Reason.NO_BACKEND:
+            # Nobody else has the key; or nobody at all is there.
+            alone = progress.keyed or not progress.tried
+            if alone:
+                return None
+        others = self.roster.able(progress.service, now, progress.tried)
+        if not others or progress.tries > progress.route.most_sends + 1:
+            return None
+        if answer.reason is verdicts.Reason.SHED:
+            # It did reach a server, so another send is a second one.
+            return 0.0 if self.budgets.spend(progress.service) else None
+        return 0.0
+
+    async def _try(self, progress: _Progress) -> answers.Answer:
+        """Send a request to the process chosen for it, once."""
+        now = self.time.now()
+        progress.tries += 1
+        left_s = progress.deadline - now
+        if left_s <= 0:
+            return self._refuse(verdicts.Reason.TOO_LATE)
+        peer = self._choose(progress, now)
+        if peer is None:
+            why = (
+                verdicts.Reason.NO_OWNER
+                if progress.keyed
+                else verdicts.Reason.NO_BACKEND
+            )
+            return self._refuse(why, retry_after_s=RETRY_AFTER_S)
+        member = peer.status.sender
+        progress.tried.add(member)
+        answer = await self._send(peer, self._ask(progress, peer, left_s))
+        if (
+            answer.verdict is not verdicts.Verdict.NOT_RUN
+            or answer.reason is verdicts.Reason.SHED
+        ):
+            progress.reached += 1
+        return answer
+
+    def _choose(self, progress: _Progress, now: float) -> roster.Peer | None:
+        if progress.keyed:
+            return self.roster.owner(
+                progress.service, progress.arrival.key, now
+            )
+        able = self.roster.able(progress.service, now, progress.tried)
+        chosen = choosing.choose(
+            [self.roster.candidate(peer) for peer in able], self.draw
+        )
+        return None if chosen is None else self.roster.peers[chosen]
+
+    def _ask(
+        self, progress: _Progress, peer: roster.Peer, left_s: float
+    ) -> exchanges.Ask:
+        arrival, route = progress.arrival, progress.route
+        return exchanges.Ask(
+            number=self.peers.next_number(),
+            request_id=arrival.request_id,
+            caller_service=self.caller_service,
+            service=progress.service,
+            run=peer.status.run,
+            method=arrival.method,
+            target=arrival.target,
+            headers=arrival.headers,
+            key=arrival.key if progress.keyed else intake.NO_KEY,
+            rank=route.rank,
+            idempotent=route.idempotent,
+            time_left_s=left_s,
+            target_s=route.target_s,
+            body=arrival.body,
+        )
+
+    async def _send(
+        self, peer: roster.Peer, ask: exchanges.Ask
+    ) -> answers.Answer:
+        """Serve here or send to a peer; ends by the deadline."""
+        member = peer.status.sender
+        peer.sent += 1
+        reply = streams.Reply(
+            self._refuse(
+                verdicts.Reason.DEADLINE, verdicts.Verdict.MAY_HAVE_RUN
+            ),
+            reported=False,
+        )
+        timed_out = False
+        try:
+            async with asyncio.timeout(ask.time_left_s):
+                if member == self.name:
+                    reply = await self.local.handle(ask)
+                else:
+                    reply = await self.peers.send(
+                        member, peer.status.address, ask
+                    )
+        except TimeoutError:
+            timed_out = True
+        finally:
+            if timed_out or reply.answer.reason is verdicts.Reason.DEADLINE:
+                peer.sent -= 1
+            else:
+                self.roster.note_reply(peer, reply, self.time.now())
+        return reply.answer
+
+    def _refuse(
+        self,
+        why: verdicts.Reason,
+        ran: verdicts.Verdict = verdicts.Verdict.NOT_RUN,
+        retry_after_s: float | None = None,
+    ) -> answers.Answer:
+        return answers.refusal(why, self.name, ran, retry_after_s)
+
+
+_PLACE_REASONS: typing.Final = frozenset(
+    {
+        verdicts.Reason.NO_OWNER,
+        verdicts.Reason.NOT_OWNER,
+        verdicts.Reason.NO_BACKEND,
+        verdicts.Reason.NOT_GRANTED,
+        verdicts.Reason.DRAINING,
+        verdicts.Reason.PEER_UNREACHABLE,
+    }
+)
+"""Refusals that end when a key has its next owner."""
+
+
+class _HangUp:
+    """Watches a caller's connection while its request is served."""
+
+    def __init__(
+        self,
+        connection: socket.socket | None,
+        give_up: collections.abc.Callable[[], object],
+    ) -> None:
+        self.give_up = give_up
+        self.happened = False
+        self.loop = asyncio.get_running_loop()
+        self.connection = connection
+        if connection is not None:
+            self.loop.add_reader(connection.fileno(), self._readable)
+
+    def _readable(self) -> None:
+        """Tell a close from the next request on the connection."""
+        connection = self.connection
+        if connection is None:
+            return
+        try:
+            found = connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return
+        except OSError:
+            found = b""
+        self.end()
+        if not found:
+            self.happened = True
+            self.give_up()
+
+    def end(self) -> None:
+        """Watch no longer."""
+        if self.connection is not None:
+            self.loop.remove_reader(self.connection.fileno())
+            self.connection = None
--- /dev/null
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -0,0 +1,339 @@
+"""The composition root of a process whose leases rest on the store.
+
+Builds the parts from the options and wires them; nothing else constructs
+them.  ``node`` is the other root, for deployments in which processes vouch
+for each other's leases.
+"""
+
+import asyncio
+import collections.abc
+import concurrent.futures
+import random
+import time
+import typing
+
+import grpclib.server
+from bronzepaddle import (
+    answers,
+    cells,
+    clocks,
+    ids,
+    logs,
+    retries,
+    routes,
+    sidecar_options,
+)
+from bronzepaddle_backend import granting, servers
+from bronzepaddle_callers import intake, server
+from bronzepaddle_peers import datagrams, statuses, streams
+from bronzepaddle_platform import config, names, objects, orders, registry
+from bronzepaddle_store import calls
+
+from bronzepaddle_node import (
+    announcing,
+    configuration,
+    keeping,
+    keys,
+    listening,
+    roster,
+    router,
+    serving,
+    tasks,
+)
+
+CONTROL_THREADS: typing.Final = 3
+READY_THREADS: typing.Final = 2
+
+CALL_IN_LOOP_S: typing.Final = 0.9
+"""Bound on a server's wait for the event loop; it allows a second."""
+
+LEAST_STAY_S: typing.Final = 2.5
+"""Time after the request to stop in which callers are still taken: they
+learn of the stop from two health checks, a second apart."""
+
+LAST_SHARE: typing.Final = 5 / 6
+"""Share of the grace time after which the process ends in any case."""
+
+STOP_TICK_S: typing.Final = 0.05
+
+RETRY_SHARE_USED: typing.Final = 0.5
+"""Part of the budget of second sends that is given out to processes: each
+counts for itself, and their windows do not begin together."""
+
+_T = typing.TypeVar("_T")
+
+
+class Sidecar:
+    """One process of the system; lives on one event loop."""
+
+    def __init__(self, settings: sidecar_options.SidecarOptions) -> None:
+        self.settings = settings
+        self.time: clocks.Clock = clocks.BootClock()
+        self.started_ms = time.time_ns() // 1_000_000
+        self.incarnation = ids.Incarnation(ids.new_id())
+        self.leaving = False
+        self.running = tasks.Tasks()
+        self.store = objects.ObjectStore(
+            f"{settings.store.host}:{settings.store.port}",
+            settings.store_timeout_s,
+            calls.CallBudget(settings.store_calls_per_minute),
+        )
+        self.roster = roster.Roster(settings.name, settings.zone)
+        self.tracker = servers.Tracker(settings.announce_s)
+        self.held = keys.HeldKeys()
+        self.workers = concurrent.futures.ThreadPoolExecutor(
+            settings.backend_threads, thread_name_prefix="backend"
+        )
+        self.serving = serving.Serving(
+            settings.name,
+            names.SERVERS,
+            self.tracker,
+            self.held,
+            self.workers,
+            self.time,
+        )
+        self.peers = streams.Client()
+        self.budgets = retries.Budgets(
+            settings.retry_share * RETRY_SHARE_USED, 1.0
+        )
+        self.router = router.Router(
+            settings.name,
+            settings.service,
+            self.roster,
+            self.serving,
+            self.peers,
+            self.budgets,
+            self.time,
+            random.Random(),
+        )
+        self.grpc: grpclib.server.Server | None = None
+
+    async def start(self) -> None:
+        """Listen on every port and start the tasks; raises ``OSError``."""
+        self.loop = asyncio.get_running_loop()
+        settings = self.settings
+        self.udp = datagrams.Datagrams(
+            b"", statuses.Status, lambda status: self.announcer.receive(status)
+        )
+        await self.udp.listen(settings.peers.host, settings.peers.port)
+        self.announcer = announcing.Announcer(
+            announcing.Member(self._address(), self.started_ms),
+            self.roster,
+            self.store,
+            self.udp,
+            self._status,
+            settings.status_s,
+            self.time,
+        )
+        self.configuration = configuration.Configuration(
+            config.OBJECT,
+            self.store,
+            config.decode,
+            (
+                self.router.learn_table,
+                self.serving.learn_table,
+                self._learn_table,
+            ),
+            self.peers,
+            self.time,
+        )
+        self.keeper = self._build_keeper()
+        self.announcer.learners.extend((self.configuration.heard, self._heard))
+        await self._serve_peers()
+        self._serve_http()
+        start = self.running.start
+        start(self.announcer.register(), "register")
+        start(self.announcer.run(), "statuses")
+        start(self.configuration.run(), "configuration")
+        start(self.keeper.run(lambda: self.configuration.table), "keys")
+        logs.process("started", settings.name)
+
+    def _build_keeper(self) -> keeping.Keeper:
+        settings = self.settings
+        return keeping.Keeper(
+            keeping.Settings(
+                settings.name,
+                settings.service,
+                settings.lease,
+                settings.most_hold_s,
+                settings.first_start,
+            ),
+            self.store,
+            self.tracker,
+            self.held,
+            self.roster,
+            self._orders,
+            self.announcer.tell_soon,
+            self.time,
+        )
+
+    def _orders(self) -> granting.Orders | None:
+        known = self.serving.server
+        return None if known is None else orders.Orders(known.links)
+
+    # Ports.
+
+    def _address(self) -> cells.Address:
+        return cells.Address(
+            self.settings.peers.host, self.settings.peers.port
+        )
+
+    async def _serve_peers(self) -> None:
+        service = streams.Service(
+            self.serving.handle, self.configuration.answer
+        )
+        self.grpc = streams.server(service)
+        where = self.settings.peers
+        await self.grpc.start(
+            sock=listening.tcp_socket(where.host, where.port)
+        )
+
+    def _serve_http(self) -> None:
+        settings = self.settings
+        limits = routes.Limits()
+        drain_s = settings.grace_s * (1 - LAST_SHARE) / 2
+        self.callers = server.HttpServer(
+            intake.Intake(self._serve, names.CALLERS, self._max_body_bytes),
+            settings.callers,
+            server.Limits(
+                settings.threads,
+                limits.max_header_bytes,
+                limits.idle_s,
+                drain_s,
+            ),
+        )
+        self.control = server.HttpServer(
+            registry.Registry(self._announced, self._left),
+            settings.control,
+            server.Limits(
+                CONTROL_THREADS,
+                limits.max_header_bytes,
+                limits.idle_s,
+                drain_s,
+            ),
+        )
+        self.readiness = server.HttpServer(
+            registry.Readiness(self._ready),
+            settings.ready,
+            server.Limits(
+                READY_THREADS, limits.max_header_bytes, limits.idle_s, drain_s
+            ),
+        )
+        for one in (self.control, self.readiness, self.callers):
+            one.start()
+
+    def _serve(self, arrival: intake.Arrival) -> answers.Answer:
+        """Serve a caller's request; runs on a thread of its server."""
+        return asyncio.run_coroutine_threadsafe(
+            self.router.serve(arrival), self.loop
+        ).result()
+
+    def _max_body_bytes(self) -> int:
+        table = self.configuration.table
+        limits = routes.Limits() if table is None else table.limits
+        return limits.max_body_bytes
+
+    def _ready(self) -> bool:
+        return self.configuration.table is not None and not self.leaving
+
+    # News.
+
+    def _in_loop(self, call: collections.abc.Callable[[], _T]) -> _T:
+        """Run a call on the event loop, from a thread; return its result."""
+
+        async def run() -> _T:
+            return call()
+
+        running = asyncio.run_coroutine_threadsafe(run(), self.loop)
+        return running.result(timeout=CALL_IN_LOOP_S)
+
+    def _announced(self, said: servers.Announcement) -> bool:
+        return self._in_loop(lambda: self._hear(said))
+
+    def _hear(self, said: servers.Announcement) -> bool:
+        """Take in what the server said of itself."""
+        known = self.tracker.seen
+        if not self.tracker.hear(said, self.time.now()):
+            return True
+        self.serving.announced(said)
+        if known is None or (known.said.run, known.said.stand) != (
+            said.run,
+            said.stand,
+        ):
+            logs.server("announced", said.run, said.stand.value)
+            self.announcer.tell_soon()
+            self.keeper.poked.set()
+        return True
+
+    def _left(self, server_id: str) -> None:
+        self._in_loop(lambda: self._hear_leave(server_id))
+
+    def _hear_leave(self, server_id: str) -> None:
+        self.tracker.leave(server_id, self.time.now())
+        logs.server("leaves", server_id, "")
+        self.announcer.tell_soon()
+
+    def _heard(self, status: statuses.Status) -> None:
+        """Take a peer's status in: it may know of a newer ownership."""
+        if status.service != self.settings.service:
+            return
+        if status.ownership_version > self.keeper.version:
+            self.keeper.poke()
+
+    def _learn_table(self, table: routes.Table) -> None:
+        self.callers.server.timeout = table.limits.idle_s
+        self.announcer.tell_soon()
+
+    def _status(self, sequence: int) -> statuses.Status:
+        """Return what the others are told of this process."""
+        now = self.time.now()
+        seen = self.tracker.seen
+        said = None if seen is None else seen.said
+        state = statuses.ServerState.ABSENT
+        if self.tracker.ready(now):
+            state = statuses.ServerState.READY
+        elif self.tracker.present(now):
+            state = statuses.ServerState.DRAINING
+        known = self.serving.server
+        cold_s = 0.0
+        if said is not None and seen is not None:
+            cold_s = max(0.0, said.cold_s - (now - seen.at))
+        return statuses.Status(
+            sender=self.settings.name,
+            incarnation=self.incarnation,
+            started_ms=self.started_ms,
+            sequence=sequence,
+            address=self._address(),
+            zone=self.settings.zone,
+            leaving=self.leaving,
+            service=self.settings.service if said is None else said.service,
+            run=statuses.NO_SERVER if said is None else said.run,
+            state=state,
+            slots=0 if said is None else said.slots,
+            outstanding=self.serving.outstanding(),
+            service_s=0.0 if known is None else known.service_s,
+            cold_s=cold_s,
+            table_version=self.configuration.version,
+            ownership_version=self.keeper.version,
+            held=self.held.told(now),
+        )
+
+    # The end.
+
+    async def stop(self) -> None:
+        """Serve what callers still send, then end within the grace time."""
+        began = self.time.now()
+        self.leaving = True
+        logs.process("stopping", self.settings.name)
+        self.callers.close_after_answers()
+        self.announcer.tell_soon()
+        last = began + self.settings.grace_s * LAST_SHARE
+        while self.time.now() < last:
+            waited_s = self.time.now() - began
+            if waited_s >= LEAST_STAY_S and not self._busy():
+                break
+            await self.time.sleep(STOP_TICK_S)
+        logs.process("stopped", self.settings.name)
+
+    def _busy(self) -> bool:
+        return bool(self.router.in_flight or self.serving.in_flight)
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/watching.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/watching.py
@@ -9,7 +9,7 @@
 import typing
 
 from bronzepaddle import cells
-from bronzepaddle_platform import store, updates
+from bronzepaddle_store import store, updates
 
 from bronzepaddle_node import heartbeats, state
 
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/writing.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/writing.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from bronzepaddle_platform import store, updates
+from bronzepaddle_store import store, updates
 
 from bronzepaddle_node import heartbeats, state
 
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/client.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/client.py
@@ -53,7 +53,9 @@
     """The link to real peers: heartbeats by UDP, calls by grpclib."""
 
     def __init__(
-        self, channels: Channels, socket: datagrams.Datagrams
+        self,
+        channels: Channels,
+        socket: datagrams.Datagrams[messages.Heartbeat],
     ) -> None:
         self.channels = channels
         self.socket = socket
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/codec.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/codec.py
@@ -20,9 +20,10 @@
 
     def decode(self, data: bytes, message_type: typing.Any) -> typing.Any:
         """Return the message; raises ``msgspec.ValidationError``."""
-        return _decoder(message_type).decode(data)
+        return decoder(message_type).decode(data)
 
 
 @functools.cache
-def _decoder(message_type: typing.Any) -> msgspec.msgpack.Decoder[typing.Any]:
+def decoder(message_type: typing.Any) -> msgspec.msgpack.Decoder[typing.Any]:
+    """Return the one decoder for a type of message."""
     return msgspec.msgpack.Decoder(message_type)
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/datagrams.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/datagrams.py
@@ -13,42 +13,49 @@
 import msgspec
 from bronzepaddle import cells
 
-from bronzepaddle_peers import messages
+from bronzepaddle_peers import codec
 
 CODE_BYTES: typing.Final = 16
 
 _ENCODER: typing.Final = msgspec.msgpack.Encoder()
-_DECODER: typing.Final = msgspec.msgpack.Decoder(messages.Heartbeat)
+_Message = typing.TypeVar("_Message", bound=msgspec.Struct)
 
-Receive: typing.TypeAlias = typing.Callable[[messages.Heartbeat], None]
 
-
-def seal(heartbeat: messages.Heartbeat, key: bytes) -> bytes:
-    """Return a heartbeat's datagram: its code, then its bytes."""
-    data = _ENCODER.encode(heartbeat)
+def seal(message: msgspec.Struct, key: bytes) -> bytes:
+    """Return a message's datagram: its code, then its bytes."""
+    data = _ENCODER.encode(message)
     return _code(data, key) + data
 
 
-def unseal(datagram: bytes, key: bytes) -> messages.Heartbeat | None:
-    """Return the heartbeat in a datagram, or None if it is not genuine."""
+def unseal(
+    datagram: bytes, key: bytes, message_type: type[_Message]
+) -> _Message | None:
+    """Return the message in a datagram, or None if it is not genuine."""
     code, data = datagram[:CODE_BYTES], datagram[CODE_BYTES:]
     if not hmac.compare_digest(code, _code(data, key)):
         return None
     try:
-        return _DECODER.decode(data)
+        message: _Message = codec.decoder(message_type).decode(data)
     except msgspec.DecodeError:
         return None
+    return message
 
 
 def _code(data: bytes, key: bytes) -> bytes:
     return hashlib.blake2b(data, digest_size=CODE_BYTES, key=key).digest()
 
 
-class Datagrams(asyncio.DatagramProtocol):
-    """The UDP socket of one process."""
+class Datagrams(asyncio.DatagramProtocol, typing.Generic[_Message]):
+    """The UDP socket of one process, for messages of one type."""
 
-    def __init__(self, key: bytes, receive: Receive) -> None:
+    def __init__(
+        self,
+        key: bytes,
+        message_type: type[_Message],
+        receive: typing.Callable[[_Message], None],
+    ) -> None:
         self.key = key
+        self.message_type = message_type
         self.receive = receive
         self.transport: asyncio.DatagramTransport | None = None
         self.rejected = 0
@@ -68,21 +75,21 @@
         self.transport = typing.cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: typing.Any) -> None:
-        """Pass a genuine heartbeat on; count any other."""
-        heartbeat = unseal(data, self.key)
-        if heartbeat is None:
+        """Pass a genuine message on; count any other."""
+        message = unseal(data, self.key, self.message_type)
+        if message is None:
             self.rejected += 1
             return
-        self.receive(heartbeat)
+        self.receive(message)
 
     def error_received(self, exc: Exception) -> None:
         """Ignore an unreachable peer: its silence tells enough."""
 
-    def send(self, to: cells.Address, heartbeat: messages.Heartbeat) -> None:
-        """Send one heartbeat; a closed socket sends nothing."""
+    def send(self, to: cells.Address, message: _Message) -> None:
+        """Send one message; a closed socket sends nothing."""
         if self.transport is None:
             return
-        datagram = seal(heartbeat, self.key)
+        datagram = seal(message, self.key)
         self.sent_bytes += len(datagram)
         self.transport.sendto(datagram, (to.host, to.port))
 
--- /dev/null
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/statuses.py
@@ -0,0 +1,76 @@
+"""What each process tells every other of itself, again and again, by UDP.
+
+A status is the heartbeat of its sender.  It carries all that another process
+needs to send requests here: the address, the backend server's standing and
+load, the keys held, and which versions the sender knows.
+"""
+
+import enum
+import typing
+
+import msgspec
+from bronzepaddle import cells, ids
+
+
+class ServerState(enum.Enum):
+    """The standing of the backend server beside a process."""
+
+    ABSENT = "absent"
+    READY = "ready"
+    DRAINING = "draining"
+
+
+class HeldRange(msgspec.Struct, frozen=True, array_like=True):
+    """Keys that the sender's backend server holds now."""
+
+    first: int
+    last: int
+    token: ids.Token
+
+
+class Status(msgspec.Struct, frozen=True, array_like=True):
+    """One process at one moment.
+
+    ``sequence`` grows with each status of a run.  ``started_ms`` is the
+    Unix time of the run's start and tells a later run from an earlier one.
+    ``run`` names the present run of the backend server, ``slots`` the
+    requests that it works on at once, ``outstanding`` those admitted or
+    waiting here, ``service_s`` the mean time that one takes.  Versions:
+    ``table_version`` of the route table in force, ``ownership_version`` of
+    the sender's service's ownership object as last read.
+    """
+
+    sender: ids.MemberId
+    incarnation: ids.Incarnation
+    started_ms: int
+    sequence: int
+    address: cells.Address
+    zone: ids.ZoneName
+    leaving: bool
+    service: ids.ServiceName
+    run: str
+    state: ServerState
+    slots: int
+    outstanding: int
+    service_s: float
+    cold_s: float
+    table_version: ids.BundleVersion
+    ownership_version: ids.ObjectVersion
+    held: tuple[HeldRange, ...]
+
+
+NO_SERVER: typing.Final = ""
+"""The run of a backend server that has not announced itself."""
+
+
+class ConfigRequest(msgspec.Struct, frozen=True):
+    """Asks for the configuration if it is newer than the asker's."""
+
+    newer_than: ids.BundleVersion
+
+
+class ConfigReply(msgspec.Struct, frozen=True):
+    """A configuration document as it was accepted; empty if not newer."""
+
+    version: ids.BundleVersion
+    document: bytes
--- /dev/null
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/streams.py
@@ -0,0 +1,400 @@
+"""Carries requests to peers over one kept stream each, and serves theirs.
+
+``Client`` is the sending side: one task per peer reads its answers, another
+writes.  ``Service`` is the grpclib service of the receiving side.  When a
+stream breaks, a request that was written to it may have run; one that was
+not has not.
+"""
+
+import asyncio
+import collections.abc
+import contextlib
+import dataclasses
+import functools
+import typing
+
+import grpclib.client
+import grpclib.const
+import grpclib.exceptions
+import grpclib.server
+from bronzepaddle import answers, cells, ids, verdicts
+
+from bronzepaddle_peers import client, codec, exchanges, statuses
+
+PATH: typing.Final = "/bronzepaddle.Requests/"
+
+PING_AFTER_S: typing.Final = 1.0
+"""Silence of a peer that owes an answer, after which it is asked."""
+
+BROKEN_AFTER_S: typing.Final = 2.5
+"""Silence after which the stream is given up; a connection may fall silent
+for good without a reset."""
+
+CONNECT_TIMEOUT_S: typing.Final = 0.4
+PULL_TIMEOUT_S: typing.Final = 0.7
+
+_Stream: typing.TypeAlias = typing.Any
+
+
+@dataclasses.dataclass(frozen=True)
+class Reply:
+    """An answer from a peer, whole, with the peer's load.
+
+    ``reported`` tells whether the load is the peer's word.
+    """
+
+    answer: answers.Answer
+    outstanding: int = 0
+    service_s: float = 0.0
+    reported: bool = False
+
+
+Handle: typing.TypeAlias = collections.abc.Callable[
+    [exchanges.Ask], collections.abc.Awaitable[Reply]
+]
+"""Serves one request; cancelled when its answer is not wanted any more."""
+
+
+class _Pending:
+    """One request without its whole answer yet."""
+
+    def __init__(self, reply: "asyncio.Future[Reply]") -> None:
+        self.reply = reply
+        self.head: exchanges.Head | None = None
+        self.pieces: list[bytes] = []
+        self.sent = False
+
+
+class _Line:
+    """The stream to one run of a peer, with what is outstanding on it."""
+
+    def __init__(self, member: ids.MemberId, address: cells.Address) -> None:
+        self.member = member
+        self.channel = grpclib.client.Channel(
+            address.host, address.port, codec=codec.MsgpackCodec()
+        )
+        self.pending: dict[int, _Pending] = {}
+        self.out: asyncio.Queue[exchanges.Upward] = asyncio.Queue()
+        self.heard_at = asyncio.get_running_loop().time()
+        self.closed = False
+        self.task = asyncio.create_task(self._run(), name=f"to {member}")
+
+    def ask(self, ask: exchanges.Ask, pending: _Pending) -> None:
+        """Queue a request to be written."""
+        if not self.pending:
+            self.heard_at = asyncio.get_running_loop().time()
+        self.pending[ask.number] = pending
+        self.out.put_nowait(ask)
+
+    async def _run(self) -> None:
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await self.channel.__connect__()
+            method: typing.Any = grpclib.client.StreamStreamMethod(
+                self.channel,
+                PATH + "Exchange",
+                typing.cast(typing.Any, exchanges.Upward),
+                typing.cast(typing.Any, exchanges.Downward),
+            )
+            async with method.open() as stream:
+                await stream.send_request()
+                await self._work(stream)
+        except client.BROKEN as error:
+            self._fail(error)
+        finally:
+            self._fail(TimeoutError("the stream was closed"))
+            self.channel.close()
+
+    async def _work(self, stream: _Stream) -> None:
+        writing = asyncio.create_task(self._write(stream))
+        watching = asyncio.create_task(self._watch())
+        reading = asyncio.create_task(self._read(stream))
+        tasks = (writing, watching, reading)
+        try:
+            done, _ = await asyncio.wait(
+                tasks, return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                task.result()
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _write(self, stream: _Stream) -> None:
+        while True:
+            message = await self.out.get()
+            if isinstance(message, exchanges.Ask):
+                pending = self.pending.get(message.number)
+                if pending is None:
+                    continue
+                pending.sent = True
+            await stream.send_message(message)
+
+    async def _watch(self) -> None:
+        """Give up on a peer that owes an answer and is silent."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(PING_AFTER_S / 2)
+            silent_s = loop.time() - self.heard_at
+            if not self.pending or silent_s < PING_AFTER_S:
+                continue
+            if silent_s > BROKEN_AFTER_S:
+                raise TimeoutError(f"{self.member} is silent")
+            self.out.put_nowait(exchanges.Ping(0))
+
+    async def _read(self, stream: _Stream) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            message = await stream.recv_message()
+            if message is None:
+                raise TimeoutError("the peer closed the stream")
+            self.heard_at = loop.time()
+            match message:
+                case exchanges.Head():
+                    self._begin(message)
+                case exchanges.Piece():
+                    self._go_on(message)
+
+    def _begin(self, head: exchanges.Head) -> None:
+        pending = self.pending.get(head.number)
+        if pending is None:
+            return
+        pending.head = head
+        self._take(head.number, pending, head.piece, head.more)
+
+    def _go_on(self, piece: exchanges.Piece) -> None:
+        pending = self.pending.get(piece.number)
+        if pending is not None:
+            self._take(piece.number, pending, piece.piece, piece.more)
+
+    def _take(
+        self, number: int, pending: _Pending, piece: bytes, more: bool
+    ) -> None:
+        pending.pieces.append(piece)
+        if more:
+            return
+        del self.pending[number]
+        if pending.head is not None and not pending.reply.done():
+            pending.reply.set_result(_reply(pending.head, pending.pieces))
+
+    def _fail(self, error: Exception) -> None:
+        """Answer what is outstanding: what was written may have run."""
+        self.closed = True
+        for pending in self.pending.values():
+            if pending.reply.done():
+                continue
+            if pending.sent:
+                why = verdicts.Reason.PEER_LOST
+                ran = verdicts.Verdict.MAY_HAVE_RUN
+            else:
+                why = verdicts.Reason.PEER_UNREACHABLE
+                ran = verdicts.Verdict.NOT_RUN
+            answer = answers.refusal(why, self.member, ran, detail=repr(error))
+            pending.reply.set_result(Reply(answer))
+        self.pending.clear()
+
+
+def _reply(head: exchanges.Head, pieces: list[bytes]) -> Reply:
+    return Reply(
+        answers.Answer(
+            status=head.status,
+            headers=head.headers,
+            body=iter(pieces),
+            verdict=verdicts.Verdict(head.verdict),
+            reason=verdicts.Reason(head.reason),
+            server=ids.MemberId(""),
+            retry_after_s=head.retry_after_s,
+            detail=head.detail,
+        ),
+        head.outstanding,
+        head.service_s,
+        True,
+    )
+
+
+class Client:
+    """The streams of this process to its peers; for the event loop only."""
+
+    def __init__(self) -> None:
+        self.lines: dict[ids.MemberId, _Line] = {}
+        self.places: dict[ids.MemberId, cells.Address] = {}
+        self.number = 0
+
+    def next_number(self) -> int:
+        """Return the number of a new exchange."""
+        self.number += 1
+        return self.number
+
+    async def send(
+        self,
+        member: ids.MemberId,
+        address: cells.Address,
+        ask: exchanges.Ask,
+    ) -> Reply:
+        """Return the peer's reply; cancelling it cancels the request."""
+        line = self.lines.get(member)
+        if line is None or line.closed or self.places[member] != address:
+            self.forget(member)
+            line = _Line(member, address)
+            self.lines[member] = line
+            self.places[member] = address
+        pending = _Pending(asyncio.get_running_loop().create_future())
+        line.ask(ask, pending)
+        try:
+            return await pending.reply
+        finally:
+            if line.pending.pop(ask.number, None) is not None:
+                line.out.put_nowait(exchanges.Cancel(ask.number))
+
+    def forget(self, member: ids.MemberId) -> None:
+        """Close the stream to a peer that is gone or has a new address."""
+        line = self.lines.pop(member, None)
+        if line is not None:
+            line.task.cancel()
+
+    async def pull_config(
+        self, address: cells.Address, request: statuses.ConfigRequest
+    ) -> statuses.ConfigReply:
+        """Ask a peer for a newer configuration.
+
+        Raises one of ``client.BROKEN``.
+        """
+        channel = grpclib.client.Channel(
+            address.host, address.port, codec=codec.MsgpackCodec()
+        )
+        try:
+            method: typing.Any = grpclib.client.UnaryUnaryMethod(
+                channel,
+                PATH + "PullConfig",
+                statuses.ConfigRequest,
+                statuses.ConfigReply,
+            )
+            async with asyncio.timeout(PULL_TIMEOUT_S):
+                reply: statuses.ConfigReply = await method(request)
+            return reply
+        finally:
+            channel.close()
+
+    async def close(self) -> None:
+        """Close every stream."""
+        tasks = [line.task for line in self.lines.values()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.lines.clear()
+
+
+Config: typing.TypeAlias = collections.abc.Callable[
+    [statuses.ConfigRequest], statuses.ConfigReply
+]
+
+
+class Service:
+    """The receiving side: serves the requests of peers."""
+
+    def __init__(self, handle: Handle, config: Config) -> None:
+        self.handle = handle
+        self.config = config
+
+    def __mapping__(self) -> dict[str, grpclib.const.Handler]:
+        """Return the handlers by path, as grpclib asks for them."""
+        return {
+            PATH + "Exchange": grpclib.const.Handler(
+                self.exchange,
+                grpclib.const.Cardinality.STREAM_STREAM,
+                exchanges.Upward,
+                exchanges.Downward,
+            ),
+            PATH + "PullConfig": grpclib.const.Handler(
+                self.pull_config,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                statuses.ConfigRequest,
+                statuses.ConfigReply,
+            ),
+        }
+
+    async def pull_config(self, stream: _Stream) -> None:
+        """Answer ``Client.pull_config``."""
+        request = await stream.recv_message()
+        await stream.send_message(self.config(request))
+
+    async def exchange(self, stream: _Stream) -> None:
+        """Serve one peer's stream until it ends."""
+        out: asyncio.Queue[exchanges.Downward] = asyncio.Queue()
+        running: dict[int, asyncio.Task[None]] = {}
+        writing = asyncio.create_task(_write_out(stream, out))
+        try:
+            while (message := await stream.recv_message()) is not None:
+                match message:
+                    case exchanges.Ask(number=number):
+                        task = asyncio.create_task(self._serve(message, out))
+                        running[number] = task
+                        task.add_done_callback(
+                            functools.partial(_forget, running, number)
+                        )
+                    case exchanges.Cancel(number):
+                        if number in running:
+                            running[number].cancel()
+                    case exchanges.Ping():
+                        out.put_nowait(message)
+        finally:
+            # The asker is gone: nobody wants these answers any more.
+            for task in [*running.values(), writing]:
+                task.cancel()
+
+    async def _serve(
+        self,
+        ask: exchanges.Ask,
+        out: "asyncio.Queue[exchanges.Downward]",
+    ) -> None:
+        reply = await self.handle(ask)
+        for message in _messages(ask.number, reply):
+            out.put_nowait(message)
+
+
+def _forget(
+    running: dict[int, asyncio.Task[None]],
+    number: int,
+    _task: asyncio.Task[None],
+) -> None:
+    running.pop(number, None)
+
+
+async def _write_out(
+    stream: _Stream, out: "asyncio.Queue[exchanges.Downward]"
+) -> None:
+    with contextlib.suppress(*client.BROKEN):
+        while True:
+            await stream.send_message(await out.get())
+
+
+def _messages(
+    number: int, reply: Reply
+) -> collections.abc.Iterator[exchanges.Downward]:
+    """Yield an answer's messages; its body is cut into pieces."""
+    answer = reply.answer
+    body = b"".join(answer.body)
+    size = exchanges.PIECE_BYTES
+    yield exchanges.Head(
+        number=number,
+        status=answer.status,
+        headers=answer.headers,
+        verdict=answer.verdict.value,
+        reason=answer.reason.value,
+        retry_after_s=answer.retry_after_s,
+        detail=answer.detail,
+        outstanding=reply.outstanding,
+        service_s=reply.service_s,
+        piece=body[:size],
+        more=len(body) > size,
+    )
+    for start in range(size, len(body), size):
+        yield exchanges.Piece(
+            number, body[start : start + size], start + size < len(body)
+        )
+
+
+def server(service: Service) -> grpclib.server.Server:
+    """Return the grpclib server of a process, not yet listening."""
+    return grpclib.server.Server([service], codec=codec.MsgpackCodec())
--- a/packages/bronzepaddle-platform/src/bronzepaddle_platform/store.py
+++ b/packages/bronzepaddle-store/src/bronzepaddle_store/store.py
@@ -13,6 +13,10 @@
 """The largest value the platform holds."""
 
 
+ANY_VERSION: typing.Final = ids.ObjectVersion(-1)
+"""Stands in a write for whatever version the object has, or none."""
+
+
 @dataclasses.dataclass(frozen=True)
 class StoredObject:
     """One version of an object."""
@@ -56,10 +60,18 @@
     ) -> ids.ObjectVersion:
         """Write an object if its version is still ``replaces``.
 
+        ``ids.NO_VERSION`` makes a new object, ``ANY_VERSION`` overwrites.
         Raises ``ConflictError``, ``StoreDownError`` or ``LostAnswerError``.
         """
         ...
 
+    async def list(self, folder: str) -> dict[str, StoredObject]:
+        """Return all objects of a folder, by the last part of their name.
+
+        Raises ``StoreDownError``.
+        """
+        ...
+
     async def watch(
         self, name: str, newer_than: ids.ObjectVersion, timeout_s: float
     ) -> StoredObject | None:
--- a/packages/bronzepaddle-platform/src/bronzepaddle_platform/updates.py
+++ b/packages/bronzepaddle-store/src/bronzepaddle_store/updates.py
@@ -11,7 +11,7 @@
 
 from bronzepaddle import cells, clocks, ids
 
-from bronzepaddle_platform import store
+from bronzepaddle_store import store
 
 Change: typing.TypeAlias = collections.abc.Callable[
     [cells.Cell | None], cells.Cell | None
--- /dev/null
+++ b/packages/bronzepaddle/src/bronzepaddle/choosing.py
@@ -0,0 +1,67 @@
+"""Chooses the server for a request that any server of its service may run.
+
+Answers the load pattern of servers that differ in speed and of several
+entry processes that choose at once: the expected time at each candidate is
+compared, with what this process has sent since the candidate's last word
+counted in, and a little noise so that entries do not all pick the same one.
+"""
+
+import collections.abc
+import dataclasses
+import random
+import typing
+
+from bronzepaddle import ids
+
+NOISE: typing.Final = 0.1
+"""Share by which a candidate's expected time is blurred."""
+
+UNKNOWN_SERVICE_S: typing.Final = 0.05
+"""Taken for a server whose service time nobody has measured yet."""
+
+COLD_FACTOR: typing.Final = 2.0
+"""How much longer a server that has just started takes."""
+
+OTHER_ZONE_S: typing.Final = 0.004
+"""Cost of the way to another availability zone and back."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Candidate:
+    """One server as seen from here.
+
+    ``outstanding`` counts requests running or waiting there, ``service_s``
+    is the mean time of one (0: not measured).
+    """
+
+    member: ids.MemberId
+    slots: int
+    outstanding: int
+    service_s: float
+    cold: bool
+    same_zone: bool
+
+
+def choose(
+    candidates: collections.abc.Sequence[Candidate], draw: random.Random
+) -> ids.MemberId | None:
+    """Return the candidate with the least expected time, None of none."""
+    if not candidates:
+        return None
+    best = min(
+        candidates,
+        key=lambda one: expected_s(one) * draw.uniform(1 - NOISE, 1 + NOISE),
+    )
+    return best.member
+
+
+def expected_s(one: Candidate) -> float:
+    """Return the time until an answer from a candidate is expected."""
+    each_s = one.service_s or UNKNOWN_SERVICE_S
+    if one.cold:
+        each_s *= COLD_FACTOR
+    turns = max(1.0, (one.outstanding + 1) / max(1, one.slots))
+    # Half full costs a little, so that equal servers share the work.
+    crowding = 1 + one.outstanding / max(1, one.slots)
+    way_s = 0.0 if one.same_zone else OTHER_ZONE_S
+    return each_s * turns * crowding + way_s
--- /dev/null
+++ b/packages/bronzepaddle/src/bronzepaddle/keyplan.py
@@ -0,0 +1,108 @@
+"""Plans who should own which keys, from what is known of the servers.
+
+Answers three patterns: the first start, where keys are dealt out evenly; the
+loss or the leaving of a server, whose keys go to those that have fewest; and
+a server that joins, which is given a part, since moving keys has a price.
+The result is written to the store by whoever asked; it decides nothing
+alone.
+"""
+
+import collections
+import collections.abc
+import dataclasses
+import typing
+
+from bronzepaddle import ids, keyranges, routes
+
+PIECES: typing.Final = 64
+"""Pieces that the key space is first cut into."""
+
+JOINER_SHARE: typing.Final = 0.5
+"""Part of an even share that a server is given when it joins."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Standing:
+    """One member of a service, as the planner knows it.
+
+    ``usable``: its server takes new work.  ``lost``: nothing is to be
+    expected from it any more, so its keys need another owner.
+    """
+
+    holder: keyranges.Holder
+    usable: bool
+    lost: bool
+
+
+def plan(
+    now: keyranges.Ownership | None,
+    service: ids.ServiceName,
+    standings: collections.abc.Sequence[Standing],
+) -> keyranges.Ownership | None:
+    """Return the ownership that should be next, None to leave it."""
+    usable = sorted(
+        (one.holder for one in standings if one.usable),
+        key=lambda holder: holder.member,
+    )
+    if not usable:
+        return None
+    if now is None:
+        return keyranges.dealt(service, usable, PIECES)
+    load = _load(now, usable)
+    moves = list(_from_lost(now, standings, load))
+    if not moves:
+        moves = list(_to_joiner(now, usable, load))
+    return keyranges.moved(now, moves) if moves else None
+
+
+def _load(
+    now: keyranges.Ownership,
+    usable: collections.abc.Iterable[keyranges.Holder],
+) -> "collections.Counter[keyranges.Holder]":
+    """Return how many keys each usable holder has."""
+    load: collections.Counter[keyranges.Holder] = collections.Counter(
+        dict.fromkeys(usable, 0)
+    )
+    for one in now.ranges:
+        if one.holder in load:
+            load[one.holder] += one.size
+    return load
+
+
+def _from_lost(
+    now: keyranges.Ownership,
+    standings: collections.abc.Iterable[Standing],
+    load: "collections.Counter[keyranges.Holder]",
+) -> collections.abc.Iterator[keyranges.Move]:
+    """Yield moves of what lost members own, to those with fewest keys."""
+    known = {one.holder.member: one for one in standings}
+    for one in now.ranges:
+        standing = known.get(one.holder.member)
+        if standing is not None and not standing.lost:
+            continue
+        heir = min(load, key=lambda holder: (load[holder], holder.member))
+        load[heir] += one.size
+        yield keyranges.Move(one.first, one.last, heir)
+
+
+def _to_joiner(
+    now: keyranges.Ownership,
+    usable: collections.abc.Sequence[keyranges.Holder],
+    load: "collections.Counter[keyranges.Holder]",
+) -> collections.abc.Iterator[keyranges.Move]:
+    """Yield moves to the first usable holder that owns nothing."""
+    owners = now.members()
+    joiner = next((one for one in usable if one.member not in owners), None)
+    if joiner is None:
+        return
+    wanted = JOINER_SHARE * routes.KEY_COUNT / len(usable)
+    by_size = sorted(now.ranges, key=lambda one: one.size)
+    while load[joiner] < wanted:
+        giver = max(load, key=lambda holder: (load[holder], holder.member))
+        given = next((one for one in by_size if one.holder == giver), None)
+        if given is None or giver == joiner:
+            return
+        by_size.remove(given)
+        load[giver] -= given.size
+        load[joiner] += given.size
+        yield keyranges.Move(given.first, given.last, joiner)
--- a/packages/bronzepaddle/src/bronzepaddle/logs.py
+++ b/packages/bronzepaddle/src/bronzepaddle/logs.py
@@ -6,7 +6,7 @@
 
 import eliot
 
-from bronzepaddle import answers, cells, ids, verdicts
+from bronzepaddle import answers, cells, ids, keyranges, verdicts
 
 
 def routing(
@@ -119,3 +119,90 @@
 def task_failed(task: str, error: BaseException) -> None:
     """Log a task of a process that ended by an error."""
     eliot.log_message(message_type="task-failed", task=task, error=repr(error))
+
+
+def dependency(name: str, reached: bool, detail: str) -> None:
+    """Log a dependency that was lost or is back."""
+    eliot.log_message(
+        message_type="dependency", name=name, reached=reached, detail=detail
+    )
+
+
+def bad_document(name: str, detail: str) -> None:
+    """Log a document that can't be used; what was in force stays so."""
+    eliot.log_message(message_type="bad-document", name=name, detail=detail)
+
+
+def write_failed(name: str, detail: str) -> None:
+    """Log a write to the store without success; the next read decides."""
+    eliot.log_message(message_type="write-failed", name=name, detail=detail)
+
+
+def planned(service: ids.ServiceName, after: keyranges.Ownership) -> None:
+    """Log a plan that was written: how many keys each member has."""
+    sizes: dict[str, int] = {}
+    for one in after.ranges:
+        member = one.holder.member
+        sizes[member] = sizes.get(member, 0) + one.size
+    eliot.log_message(message_type="planned", service=service, keys=sizes)
+
+
+def keys_released(
+    first: int, last: int, token: ids.Token, detail: str
+) -> None:
+    """Log keys that the backend server was told to give up."""
+    eliot.log_message(
+        message_type="keys-released",
+        first=first,
+        last=last,
+        token=token,
+        detail=detail,
+    )
+
+
+def order_failed(order: str, first: int, last: int, detail: str) -> None:
+    """Log an order to the backend server that has no good answer."""
+    eliot.log_message(
+        message_type="order-failed",
+        order=order,
+        first=first,
+        last=last,
+        detail=detail,
+    )
+
+
+def not_served(
+    request_id: ids.RequestId,
+    route: str,
+    answer: answers.Answer,
+    tries: int,
+    took_s: float,
+) -> None:
+    """Log a request that was refused or failed, and why."""
+    eliot.log_message(
+        message_type="not-served",
+        request_id=request_id,
+        route=route,
+        server=answer.server,
+        status=answer.status,
+        verdict=answer.verdict.value,
+        reason=answer.reason.value,
+        detail=answer.detail,
+        tries=tries,
+        took_s=round(took_s, 4),
+    )
+
+
+def server(what: str, run: str, detail: str) -> None:
+    """Log a change of what is known of the backend server."""
+    eliot.log_message(message_type="server", what=what, run=run, detail=detail)
+
+
+def in_force(version: ids.BundleVersion, source: str) -> None:
+    """Log the configuration that is in force from now on."""
+    eliot.log_message(message_type="in-force", version=version, source=source)
+
+
+def process(what: str, detail: str) -> None:
+    """Log a start, a stop or a reload of this process."""
+    eliot.log_message(message_type="process", what=what, detail=detail)
--- a/packages/bronzepaddle/src/bronzepaddle/retries.py
+++ b/packages/bronzepaddle/src/bronzepaddle/retries.py
@@ -96,22 +96,29 @@
 
 
 class Budgets:
-    """The retries that each service may still spend."""
+    """The retries that each service may still spend.
 
-    def __init__(self) -> None:
+    ``share`` is what each request earns, ``most`` what may be saved up.
+    """
+
+    def __init__(
+        self, share: float = BUDGET_SHARE, most: float = BUDGET_MOST
+    ) -> None:
+        self.share = share
+        self.most = most
         self.lock = threading.Lock()
         self.saved: dict[ids.ServiceName, float] = {}
 
     def earn(self, service: ids.ServiceName) -> None:
         """Count a request of a service."""
         with self.lock:
-            saved = self.saved.get(service, BUDGET_MOST)
-            self.saved[service] = min(BUDGET_MOST, saved + BUDGET_SHARE)
+            saved = self.saved.get(service, self.most)
+            self.saved[service] = min(self.most, saved + self.share)
 
     def spend(self, service: ids.ServiceName) -> bool:
         """Take one retry, if there is one."""
         with self.lock:
-            saved = self.saved.get(service, BUDGET_MOST)
+            saved = self.saved.get(service, self.most)
             if saved < 1.0:
                 return False
             self.saved[service] = saved - 1.0
--- /dev/null
+++ b/packages/bronzepaddle/src/bronzepaddle/sidecar_options.py
@@ -0,0 +1,178 @@
+"""Settings of a process on a platform whose store its leases rest on.
+
+The deployment renders them as INI from a template; ``load`` checks every
+key and says for each error where it stands.
+"""
+
+import collections.abc
+import configparser
+import dataclasses
+import pathlib
+import typing
+
+import returns.result
+
+from bronzepaddle import ids, ini, options, storeleases
+
+FORM: typing.Final = "objects"
+"""Value of ``[platform] form`` that these settings are for."""
+
+SECTIONS: typing.Final = {
+    "process": ("name", "zone", "service", "first-start", "grace-s"),
+    "callers": ("listen", "threads"),
+    "ready": ("listen",),
+    "control": ("listen",),
+    "peers": ("listen", "status-s"),
+    "platform": ("form", "address", "timeout-s", "calls-per-minute"),
+    "backend": ("announce-ms", "threads"),
+    "keys": ("lease-s", "read-s", "most-hold-ms"),
+    "retries": ("share", "slack"),
+    "metrics": ("listen",),
+}
+
+TRUE: typing.Final = "true"
+
+
+@dataclasses.dataclass(frozen=True)
+class SidecarOptions:
+    """Every setting of one process; times in seconds.
+
+    ``service`` is that of the backend server on the same VM; ``first_start``
+    tells that the whole system starts for the first time.  ``grace_s`` is
+    the time between the request to stop and the end.  ``retry_slack`` is the
+    number of second sends that all processes share beyond ``retry_share``.
+    """
+
+    name: ids.MemberId
+    zone: ids.ZoneName
+    service: ids.ServiceName
+    first_start: bool
+    grace_s: float
+    callers: options.Endpoint
+    threads: int
+    ready: options.Endpoint
+    control: options.Endpoint
+    peers: options.Endpoint
+    status_s: float
+    store: options.Endpoint
+    store_timeout_s: float
+    store_calls_per_minute: int
+    announce_s: float
+    backend_threads: int
+    lease: storeleases.StoreLeaseTimes
+    most_hold_s: float
+    retry_share: float
+    retry_slack: float
+
+
+SidecarResult: typing.TypeAlias = returns.result.Result[
+    SidecarOptions, tuple[options.OptionsError, ...]
+]
+
+
+def load(path: pathlib.Path) -> SidecarResult:
+    """Return the settings in a file, or all that is wrong with them."""
+    parser = configparser.ConfigParser(interpolation=None, strict=True)
+    try:
+        parser.read_string(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, configparser.Error) as error:
+        detail = str(error).replace("\n", " ")
+        return returns.result.Failure(
+            (options.OptionsError(str(path), "", "", detail),)
+        )
+    reader = _Reader(path, parser)
+    found = reader.settings()
+    if reader.errors:
+        return returns.result.Failure(tuple(reader.errors))
+    return returns.result.Success(found)
+
+
+def is_for(path: pathlib.Path) -> bool:
+    """Tell whether a settings file is of this kind."""
+    parser = configparser.ConfigParser(interpolation=None, strict=True)
+    try:
+        parser.read_string(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, configparser.Error):
+        # Whichever reader is asked for the settings reports the error.
+        return False
+    return parser.get("platform", "form", fallback="") == FORM
+
+
+class _Reader(ini.Reader):
+    """Turns sections into options and gathers every error on the way."""
+
+    def __init__(
+        self, path: pathlib.Path, parser: configparser.ConfigParser
+    ) -> None:
+        self.path = path
+        super().__init__(parser)
+        self.errors: list[options.OptionsError] = []
+
+    def settings(self) -> SidecarOptions:
+        """Read all sections."""
+        for section, key in self._unknown():
+            self.wrong("unknown-key", section, key, "unknown")
+        return SidecarOptions(
+            name=ids.MemberId(self.text("process", "name")),
+            zone=ids.ZoneName(self.text("process", "zone")),
+            service=ids.ServiceName(self.text("process", "service")),
+            first_start=self.text("process", "first-start", "") == TRUE,
+            grace_s=self.number("process", "grace-s", 6.0, 1.0, 600.0),
+            callers=self.endpoint("callers"),
+            threads=self.whole("callers", "threads", 64, 4, 1000),
+            ready=self.endpoint("ready"),
+            control=self.endpoint("control"),
+            peers=self.endpoint("peers"),
+            status_s=self.number("peers", "status-s", 0.5, 0.05, 10.0),
+            store=self.endpoint("platform", "address"),
+            store_timeout_s=self.number(
+                "platform", "timeout-s", 1.0, 0.05, 60.0
+            ),
+            store_calls_per_minute=self.whole(
+                "platform", "calls-per-minute", 1200, 1, 100_000
+            ),
+            announce_s=self.number(
+                "backend", "announce-ms", 1000.0, 50.0, 60_000.0
+            )
+            / 1000,
+            backend_threads=self.whole("backend", "threads", 32, 1, 1000),
+            lease=storeleases.StoreLeaseTimes(
+                lease_s=self.number("keys", "lease-s", 3.0, 0.5, 60.0),
+                read_every_s=self.number("keys", "read-s", 0.8, 0.05, 10.0),
+            ),
+            most_hold_s=self.number(
+                "keys", "most-hold-ms", 10_000.0, 100.0, 600_000.0
+            )
+            / 1000,
+            retry_share=self.number("retries", "share", 0.1, 0.0, 10.0),
+            retry_slack=self.number("retries", "slack", 20.0, 0.0, 1e6),
+        )
+
+    def _unknown(self) -> collections.abc.Iterator[tuple[str, str]]:
+        """Yield sections and keys that mean nothing."""
+        for section in self.parser.sections():
+            known = SECTIONS.get(section)
+            if known is None:
+                yield section, ""
+                continue
+            for key in self.parser[section]:
+                if key not in known:
+                    yield section, key
+
+    def endpoint(self, section: str, key: str = "listen") -> options.Endpoint:
+        """Read HOST:PORT."""
+        value = self.text(section, key)
+        host, colon, port = value.rpartition(":")
+        if not (host and colon and port.isdecimal() and int(port) < 65_536):
+            if value:
+                self.wrong(
+                    "bad-endpoint", section, key, f"HOST:PORT, not {value}"
+                )
+            return options.Endpoint("", 0)
+        return options.Endpoint(host, int(port))
+
+    def wrong(self, code: str, section: str, key: str, detail: str) -> None:
+        """Note an error and go on."""
+        self.errors.append(
+            options.OptionsError(str(self.path), section, key, detail)
+        )
--- a/standins/src/bronzepaddle_standins/platform.py
+++ b/standins/src/bronzepaddle_standins/platform.py
@@ -1,6 +1,6 @@
 """Stand-in for the platform's object API, with outages on request.
 
-Speaks the wire form of ``bronzepaddle_platform.http_store``.  Faults are set
+Speaks the wire form of ``bronzepaddle_store.http_store``.  Faults are set
 by ``POST /faults`` with a ``Faults`` document: down, slow, or answering
 writes never after they took effect.
 """
@@ -15,6 +15,7 @@
 import click
 import msgspec
 from bronzepaddle_callers import server
+from bronzepaddle_store import http_store
 
 THREADS: typing.Final = 64
 MOST_BYTES: typing.Final = 1 << 20
@@ -49,12 +50,24 @@
         with self.changed:
             return self.objects.get(name)
 
-    def put(self, name: str, body: bytes, replaces: int) -> int | None:
-        """Write an object; None if ``replaces`` is not its version."""
+    def folder(self, prefix: str) -> dict[str, http_store.ListedObject]:
+        """Return the objects whose names begin with a prefix."""
+        with self.changed:
+            return {
+                name: http_store.ListedObject(found.version, found.body)
+                for name, found in self.objects.items()
+                if name.startswith(prefix)
+            }
+
+    def put(self, name: str, body: bytes, replaces: int | None) -> int | None:
+        """Write an object; None if ``replaces`` is not its version.
+
+        With ``replaces`` None the version does not matter.
+        """
         with self.changed:
             found = self.objects.get(name)
             version = 0 if found is None else found.version
-            if version != replaces:
+            if replaces is not None and version != replaces:
                 return None
             self.objects[name] = _Object(version + 1, body)
             self.writes += 1
@@ -150,7 +163,9 @@
         if len(body) > MOST_BYTES:
             return _answer(start, "413 Content Too Large")
         match = environ.get("HTTP_IF_MATCH", "").strip('"')
-        replaces = int(match) if match.isdecimal() else 0
+        replaces: int | None = int(match) if match.isdecimal() else 0
+        if match == "*":
+            replaces = None
         version = self.objects.put(name, body, replaces)
         if self.objects.faults.lose_answers:
             hang_up()
@@ -170,6 +185,9 @@
             )
             if found is None:
                 return _answer(start, "304 Not Modified")
+        elif name.endswith("/"):
+            listed = msgspec.json.encode(self.objects.folder(name))
+            return _answer(start, "200 OK", listed)
         else:
             found = self.objects.get(name)
             if found is None:
--- a/tests/support/broken.py
+++ b/tests/support/broken.py
@@ -10,7 +10,7 @@
 
 from bronzepaddle import cells, clocks, ids, leases, placement
 from bronzepaddle_node import heartbeats, silence, takeover
-from bronzepaddle_platform import store, updates
+from bronzepaddle_store import store, updates
 
 _Patches: typing.TypeAlias = list[typing.Any]
 
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -16,7 +16,7 @@
 from bronzepaddle_backend import announcements
 from bronzepaddle_node import crashes, membership, owner, slots, state
 from bronzepaddle_peers import link, messages
-from bronzepaddle_platform import store, updates
+from bronzepaddle_store import store, updates
 
 from support import turned
 
@@ -114,6 +114,10 @@
         await self._reach()
         return self.objects.objects.get(name)
 
+    async def list(self, folder: str) -> dict[str, store.StoredObject]:
+        """Return all objects of a folder; nothing here asks for one."""
+        raise NotImplementedError(folder)
+
     async def put(
         self, name: str, body: bytes, replaces: ids.ObjectVersion
     ) -> ids.ObjectVersion:
