Bound every wait of a stop; let no worker thread keep a process alive

Cause: the HTTP library joins a worker thread that is still busy without a bound, and its workers are no daemons, so one request without an answer held `Node.close()` and the interpreter's end for ever; waiting watches of the stand-in held the demo for some 20 s. Ruled out: a shorter drain time (the join after it has no bound). Change: a stop waits for its drain time and a slack; workers are started as daemons; tasks left over are cancelled before the loop of a fleet stops.

--- a/packages/bronzepaddle-callers/src/bronzepaddle_callers/server.py
+++ b/packages/bronzepaddle-callers/src/bronzepaddle_callers/server.py
@@ -4,6 +4,7 @@
 application of its own on a cheroot server of its own.
 """
 
+import concurrent.futures
 import dataclasses
 import math
 import threading
@@ -17,6 +18,9 @@
 
 BACKLOG: typing.Final = 512
 
+STOP_SLACK_S: typing.Final = 0.5
+"""Time beyond the drain time after which a stop is not waited for."""
+
 _CONFIG: typing.Final = {
     "/": {
         # Bodies are streamed by the handler, never parsed or held.
@@ -61,6 +65,33 @@
 
     closing = False
 
+    def start_threads(self) -> None:
+        """Listen; raises ``OSError`` when the port is taken.
+
+        Worker threads are started by a daemon thread, which makes them
+        daemons too: one that waits for ever can't keep a process alive.
+        """
+        prepared: concurrent.futures.Future[None] = concurrent.futures.Future()
+        threading.Thread(
+            target=self._run, args=(prepared,), name="http", daemon=True
+        ).start()
+        prepared.result()
+
+    def _run(self, prepared: "concurrent.futures.Future[None]") -> None:
+        try:
+            self.prepare()
+        except BaseException as error:
+            prepared.set_exception(error)
+            return
+        prepared.set_result(None)
+        self.serve()
+
+    def stop_threads(self) -> None:
+        """Stop; return when the time for what still runs is over."""
+        stopping = threading.Thread(target=self.stop, daemon=True)
+        stopping.start()
+        stopping.join(self.shutdown_timeout + STOP_SLACK_S)
+
     def error_log(
         self, msg: str = "", level: int = 20, traceback: bool = False
     ) -> None:
@@ -87,15 +118,10 @@
         )
         self.server.gateway = _Gateway
         self.server.max_request_header_size = limits.max_header_bytes
-        self.thread: threading.Thread | None = None
 
     def start(self) -> None:
         """Listen; raises ``OSError`` when the port is taken."""
-        self.server.prepare()
-        self.thread = threading.Thread(
-            target=self.server.serve, name="http", daemon=True
-        )
-        self.thread.start()
+        self.server.start_threads()
 
     def close_after_answers(self) -> None:
         """Close each connection after its next answer."""
@@ -107,11 +133,16 @@
         host, port = self.server.bind_addr
         return options.Endpoint(str(host), int(port))
 
-    def stop(self) -> None:
-        """Stop listening and let requests in flight end."""
-        self.server.stop()
-        if self.thread is not None:
-            self.thread.join()
+    def stop(self, drain_s: float | None = None) -> None:
+        """Stop listening and let requests in flight end, for a while.
+
+        The wait is that of the limits unless ``drain_s`` is given; what
+        runs longer is left to its thread.  The library's own stop waits
+        for such a thread without a bound.
+        """
+        if drain_s is not None:
+            self.server.shutdown_timeout = drain_s
+        self.server.stop_threads()
 
 
 def _with_repeated_lines(application: typing.Any) -> typing.Any:
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/main.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/main.py
@@ -32,22 +32,26 @@
     match options.load(config):
         case returns.result.Success(settings):
             asyncio.run(_run(settings))
+            _end()
         case returns.result.Failure(errors):
             for error in errors:
                 click.echo(str(error), err=True)
             sys.exit(BAD_SETTINGS_STATUS)
 
 
+def _end() -> typing.NoReturn:
+    """End now: what threads still wait for has had its time."""
+    sys.stdout.flush()
+    os._exit(0)
+
+
 def _run_sidecar(config: pathlib.Path) -> None:
     """Run a process whose leases rest on the platform's store."""
     match sidecar_options.load(config):
         case returns.result.Success(settings):
             eliot.to_file(sys.stdout)
             asyncio.run(_serve_until_told(settings))
-            # Threads that wait for a caller or a server would hold up the
-            # end; what they wait for has had its time.
-            sys.stdout.flush()
-            os._exit(0)
+            _end()
         case returns.result.Failure(errors):
             for error in errors:
                 click.echo(str(error), err=True)
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/node.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/node.py
@@ -30,6 +30,9 @@
 )
 
 CONTROL_THREADS: typing.Final = 4
+
+CLOSE_S: typing.Final = 0.2
+"""Time that each part has to end when the process closes at once."""
 FIRST_SEQUENCE_BELOW: typing.Final = 1 << 40
 
 ANY_PORT_TRIES: typing.Final = 20
@@ -221,12 +224,14 @@
         """Close every port at once, as when the process is lost."""
         await self.membership.stop()
         loop = asyncio.get_running_loop()
-        await loop.run_in_executor(None, self.callers.stop)
-        await loop.run_in_executor(None, self.control.stop)
+        for one in (self.callers, self.control):
+            await loop.run_in_executor(None, one.stop, CLOSE_S)
         if self.grpc is not None:
             self.peer_service.closed = True
             self.grpc.close()
-            await self.grpc.wait_closed()
+            with contextlib.suppress(TimeoutError):
+                # A handler that does not end is left behind.
+                await asyncio.wait_for(self.grpc.wait_closed(), CLOSE_S)
         self.udp.close()
         self.channels.close()
         self.objects.close()
--- a/standins/src/bronzepaddle_standins/backend.py
+++ b/standins/src/bronzepaddle_standins/backend.py
@@ -93,8 +93,7 @@
 
     def start(self) -> None:
         """Listen and begin to announce."""
-        self.server.prepare()
-        threading.Thread(target=self.server.serve, daemon=True).start()
+        self.server.start_threads()
         threading.Thread(target=self._announce, daemon=True).start()
 
     def stop(self) -> None:
--- a/standins/src/bronzepaddle_standins/fleet.py
+++ b/standins/src/bronzepaddle_standins/fleet.py
@@ -21,6 +21,9 @@
 
 from bronzepaddle_standins import backend, platform
 
+CANCEL_S: typing.Final = 2.0
+"""Time that tasks have to end when everything stops."""
+
 POLL_S: typing.Final = 0.02
 
 
@@ -132,11 +135,21 @@
         for name in list(self.nodes):
             self.lose(name)
         self.platform.stop()
+        self.run(_cancel_the_rest())
         self.loop.call_soon_threadsafe(self.loop.stop)
         self.thread.join()
         self.folder.cleanup()
 
 
+async def _cancel_the_rest() -> None:
+    """Cancel what still runs, so that no thread waits for it for ever."""
+    rest = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in rest:
+        task.cancel()
+    if rest:
+        await asyncio.wait(rest, timeout=CANCEL_S)
+
+
 def node_ini(
     name: str, zone: str, platform_url: str, peers: str = "", more: str = ""
 ) -> str:
--- a/standins/src/bronzepaddle_standins/platform.py
+++ b/standins/src/bronzepaddle_standins/platform.py
@@ -111,7 +111,6 @@
             request_queue_size=512,
             shutdown_timeout=1,
         )
-        self.thread: threading.Thread | None = None
 
     @property
     def url(self) -> str:
@@ -121,13 +120,12 @@
 
     def start(self) -> None:
         """Listen."""
-        self.server.prepare()
-        self.thread = threading.Thread(target=self.server.serve, daemon=True)
-        self.thread.start()
+        self.server.start_threads()
 
     def stop(self) -> None:
-        """Stop listening."""
-        self.server.stop()
+        """Stop listening and end the watches that wait."""
+        self.objects.set_faults(Faults(down=True))
+        self.server.stop_threads()
 
     def serve(
         self, environ: dict[str, typing.Any], start: typing.Any
