Turn away at once what can't be done by its target time; strict ranks

Ruled out: the forwarding path (p50 of other kinds below 110 ms). Change: core/waiting decides who waits, starts and is turned away, by target time; a Retry-After grows with the share turned away.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/keeping.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/keeping.py
@@ -36,6 +36,9 @@
 LOST_S = 2.0
 """Silence of a member after which its keys go to others."""
 
+LEAST_HOLD_S = 0.1
+"""A grant for less time than this is not worth its order."""
+
 RENEW_BELOW = 0.6
 """Share of the longest hold below which a grant is renewed."""
 
@@ -322,7 +325,9 @@
         )
         if old is not None and old.until - now > RENEW_BELOW * times.lease_s:
             return
-        if hold_s <= 0 or (old is not None and now + hold_s <= old.until):
+        if hold_s < LEAST_HOLD_S or (
+            old is not None and now + hold_s <= old.until
+        ):
             return
         await self._grant(one, hold_s)
 
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
@@ -259,6 +259,7 @@
             request_id=arrival.request_id,
             caller_service=self.caller_service,
             service=progress.service,
+            route=route.name,
             run=peer.status.run,
             method=arrival.method,
             target=arrival.target,
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -133,7 +133,6 @@
             config.decode,
             (
                 self.router.learn_table,
-                self.serving.learn_table,
                 self._learn_table,
             ),
             self.peers,
@@ -304,7 +303,6 @@
             state = statuses.ServerState.READY
         elif self.tracker.present(now):
             state = statuses.ServerState.DRAINING
-        known = self.serving.server
         cold_s = 0.0
         if said is not None and seen is not None:
             cold_s = max(0.0, said.cold_s - (now - seen.at))
@@ -321,7 +319,7 @@
             state=state,
             slots=0 if said is None else said.slots,
             outstanding=self.serving.outstanding(),
-            service_s=0.0 if known is None else known.service_s,
+            service_s=self.serving.service_s(),
             cold_s=cold_s,
             table_version=self.configuration.version,
             ownership_version=self.keeper.version,
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/exchanges.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/exchanges.py
@@ -25,6 +25,7 @@
     request_id: ids.RequestId
     caller_service: ids.ServiceName
     service: ids.ServiceName
+    route: str
     run: str
     method: str
     target: str
--- a/packages/bronzepaddle/src/bronzepaddle/admission.py
+++ b/packages/bronzepaddle/src/bronzepaddle/admission.py
@@ -56,8 +56,6 @@
         self.caller = caller
         self.deadline = deadline
         self.started: float | None = None
-        # Set by whoever dispatches: from then on ``release`` ends it.
-        self.sent = False
         self.decision: concurrent.futures.Future[Decision] = (
             concurrent.futures.Future()
         )
--- /dev/null
+++ b/packages/bronzepaddle/src/bronzepaddle/waiting.py
@@ -0,0 +1,199 @@
+"""Who waits for a slot of a backend server, who starts, who is turned away.
+
+Pure decisions of one server's line; ``serving`` acts on them.  They answer
+these load patterns:
+
+- *More arrives than the server can do.*  Whoever could not be done by its
+  target time is turned away at once, so that the line stays short and those
+  that are served are served in time; a long line would make all of them
+  late at the same throughput.
+- *A flood of the least urgent.*  Ranks are strict: a request waits only for
+  those of its own rank and of more urgent ones.
+- *A flood of the most urgent*, with calls between servers.  Within a rank
+  the earliest target time goes first, so that a short call, whose failure
+  would waste its caller's slot, does not wait behind longer work.
+
+A request that must not be repeated may wait beyond its target time: losing
+it is worse than having it late.
+"""
+
+import dataclasses
+import enum
+import typing
+
+MEAN_WEIGHT: typing.Final = 0.1
+"""Weight of the newest service time in the running mean."""
+
+FIRST_GUESS_S: typing.Final = 0.05
+"""Service time of a kind of work before one was measured."""
+
+LATE_SHARE: typing.Final = 0.6
+"""Share of its time left that a request which must not be repeated may
+spend in the line."""
+
+LEAST_RETRY_AFTER_S: typing.Final = 0.1
+
+PRESSURE_SPAN_S: typing.Final = 1.0
+"""Time over which the share of requests turned away is counted."""
+
+PRESSURE_RETRY_S: typing.Final = 1.5
+"""Time added to a Retry-After while all requests are turned away: room is
+the further off, the more are waiting to come back."""
+
+
+class State(enum.Enum):
+    """Where a request is."""
+
+    WAITING = "waiting"
+    RUNNING = "running"
+    OVER = "over"
+
+
+@dataclasses.dataclass(frozen=True)
+class Work:
+    """What is known of a request when it arrives.
+
+    ``kind`` tells apart work that takes differently long.  ``target_s`` is
+    the time in which its answer should be there, ``left_s`` the time in
+    which it must be.
+    """
+
+    rank: int
+    kind: str
+    target_s: float
+    left_s: float
+    idempotent: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class TurnedAway:
+    """The request is not run; worth another try after a while."""
+
+    wait_s: float
+    retry_after_s: float
+
+
+class Place:
+    """One request in the line or in a slot."""
+
+    def __init__(self, work: Work, now: float) -> None:
+        self.work = work
+        self.due = now + work.target_s
+        self.deadline = now + work.left_s
+        self.state = State.WAITING
+        self.started = now
+
+    @property
+    def order(self) -> tuple[int, float]:
+        """Return what decides who goes first: the least does."""
+        return (self.work.rank, self.due)
+
+
+class Line:
+    """The line of one server with ``slots`` slots."""
+
+    def __init__(self, slots: int, now: float) -> None:
+        self.slots = slots
+        self.waiting: list[Place] = []
+        self.running = 0
+        self.means: dict[str, float] = {}
+        self.arrived = 0.0
+        self.turned_away = 0.0
+        self.counted_at = now
+
+    def ask(self, work: Work, now: float) -> Place | TurnedAway:
+        """Take a request into the line, or turn it away."""
+        self._count(now)
+        self.arrived += 1
+        place = Place(work, now)
+        wait_s = self.expected_wait_s(place)
+        if wait_s > 0 and wait_s + self.mean_s(work.kind) > _patience_s(work):
+            self.turned_away += 1
+            return TurnedAway(wait_s, self._retry_after_s(wait_s))
+        self.waiting.append(place)
+        return place
+
+    def expected_wait_s(self, place: Place) -> float:
+        """Return the time until a request of the line would start."""
+        if self.running < self.slots and not self.waiting:
+            return 0.0
+        ahead_s = sum(
+            self.mean_s(one.work.kind)
+            for one in self.waiting
+            if one is not place and one.order <= place.order
+        )
+        # The slot that becomes free next is one of many in use.
+        return (ahead_s + self.mean_s(place.work.kind)) / self.slots
+
+    def startable(self, now: float) -> list[Place]:
+        """Return what starts now, taken out of the line."""
+        found: list[Place] = []
+        while self.waiting and self.running < self.slots:
+            place = min(self.waiting, key=lambda one: one.order)
+            self.waiting.remove(place)
+            place.state = State.RUNNING
+            place.started = now
+            self.running += 1
+            found.append(place)
+        return found
+
+    def hopeless(self, now: float) -> list[Place]:
+        """Return what can't be done in time any more, taken out."""
+        found = [
+            one
+            for one in self.waiting
+            if now + self.mean_s(one.work.kind) / 2 > one.deadline
+        ]
+        for one in found:
+            self.waiting.remove(one)
+            one.state = State.OVER
+        return found
+
+    def leave(self, place: Place, now: float, served: bool) -> None:
+        """Take a request out, wherever it is; ``served`` measures it."""
+        if place.state is State.WAITING:
+            self.waiting.remove(place)
+        elif place.state is State.RUNNING:
+            self.running -= 1
+            if served:
+                self._measure(place.work.kind, now - place.started)
+        place.state = State.OVER
+
+    def outstanding(self) -> int:
+        """Return how many requests wait or run."""
+        return len(self.waiting) + self.running
+
+    def mean_s(self, kind: str) -> float:
+        """Return how long work of a kind takes."""
+        return self.means.get(kind, FIRST_GUESS_S)
+
+    def mean_of_all_s(self) -> float:
+        """Return a mean over the kinds of work seen, 0 if none."""
+        if not self.means:
+            return 0.0
+        return sum(self.means.values()) / len(self.means)
+
+    def _measure(self, kind: str, took_s: float) -> None:
+        known = self.means.get(kind)
+        if known is None:
+            self.means[kind] = took_s
+        else:
+            self.means[kind] = known + MEAN_WEIGHT * (took_s - known)
+
+    def _count(self, now: float) -> None:
+        """Let what was counted fade with time."""
+        kept = max(0.0, 1 - (now - self.counted_at) / PRESSURE_SPAN_S)
+        self.arrived *= kept
+        self.turned_away *= kept
+        self.counted_at = now
+
+    def _retry_after_s(self, wait_s: float) -> float:
+        pressure = self.turned_away / max(1.0, self.arrived)
+        return max(LEAST_RETRY_AFTER_S, wait_s) + PRESSURE_RETRY_S * pressure
+
+
+def _patience_s(work: Work) -> float:
+    """Return the time in which a request must be expected to be done."""
+    if work.idempotent:
+        return min(work.target_s, work.left_s)
+    return min(max(work.target_s, LATE_SHARE * work.left_s), work.left_s)
