--- a/packages/bronzepaddle-node/src/bronzepaddle_node/keeping.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/keeping.py
@@ -36,6 +36,10 @@
 LOST_S = 2.0
 """Silence of a member after which its keys go to others."""
 
+EVEN_OUT_EVERY_S = 1.2
+"""Time between two plans that move busy keys: the counts of the servers
+must have followed the last one."""
+
 LEAST_HOLD_S = 0.1
 """A grant for less time than this is not worth its order."""
 
@@ -91,6 +95,7 @@
         self.read: Read | None = None
         self.read_at = float("-inf")
         self.started = time.now()
+        self.planned_at = float("-inf")
         self.learned: dict[ids.Token, float] = {}
         # An earlier run of this process may have sent grants that have no
         # answer yet and are carried out late.
@@ -417,12 +422,14 @@
             return
         if not self.lease.holds(now) or not self._plans(now):
             return
+        even_out = now - self.planned_at >= EVEN_OUT_EVERY_S
         after = keyplan.plan(
             ownership,
             self.settings.service,
-            list(self._standings(now)),
+            list(self._standings(now, even_out)),
         )
         if after is not None and await self._write(after):
+            self.planned_at = now
             logs.planned(self.settings.service, after)
 
     def _plans(self, now: float) -> bool:
@@ -435,7 +442,7 @@
         return not alive or min(alive) == self.settings.name
 
     def _standings(
-        self, now: float
+        self, now: float, even_out: bool
     ) -> collections.abc.Iterator[keyplan.Standing]:
         for peer in self.roster.of_service(self.settings.service):
             status = peer.status
@@ -449,10 +456,14 @@
             # A process that has not heard of its server yet may have been
             # started anew beside one that holds its keys still.
             server_gone = not ready and bool(status.run)
+            each = status.service_s / max(1, status.slots)
             yield keyplan.Standing(
                 keyranges.Holder(status.sender, status.run),
                 usable=alive and ready and not status.leaving,
                 lost=silent_s > LOST_S or server_gone,
+                demand=status.asked_rate * each,
+                each=each,
+                hot=status.hot if even_out else (),
             )
 
     async def stop(self) -> None:
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/serving.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/serving.py
@@ -10,7 +10,7 @@
 import concurrent.futures
 import typing
 
-from bronzepaddle import answers, clocks, ids, verdicts, waiting
+from bronzepaddle import answers, clocks, heat, ids, verdicts, waiting
 from bronzepaddle_backend import connections, servers
 from bronzepaddle_peers import exchanges, streams
 
@@ -73,6 +73,7 @@
         self.time = time
         self.server: Server | None = None
         self.in_flight = 0
+        self.heat = heat.Heat(time.now())
 
     def announced(self, said: servers.Announcement) -> None:
         """Take the newest announcement in; a new run gets a new queue."""
@@ -112,6 +113,8 @@
             return self._refuse(
                 why or verdicts.Reason.NO_BACKEND, MOVING_RETRY_S
             )
+        if ask.key >= 0:
+            self.heat.note(ask.key)
         now = self.time.now()
         deadline = now + ask.time_left_s
         placed = server.line.ask(_work(ask), now)
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -296,6 +296,7 @@
     def _status(self, sequence: int) -> statuses.Status:
         """Return what the others are told of this process."""
         now = self.time.now()
+        self.serving.heat.fade(now)
         seen = self.tracker.seen
         said = None if seen is None else seen.said
         state = statuses.ServerState.ABSENT
@@ -324,6 +325,8 @@
             table_version=self.configuration.version,
             ownership_version=self.keeper.version,
             held=self.held.told(now),
+            asked_rate=self.serving.heat.rate(),
+            hot=self.serving.heat.hottest(),
         )
 
     # The end.
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/statuses.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/statuses.py
@@ -9,7 +9,7 @@
 import typing
 
 import msgspec
-from bronzepaddle import cells, ids
+from bronzepaddle import cells, heat, ids
 
 
 class ServerState(enum.Enum):
@@ -37,7 +37,9 @@
     requests that it works on at once, ``outstanding`` those admitted or
     waiting here, ``service_s`` the mean time that one takes.  Versions:
     ``table_version`` of the route table in force, ``ownership_version`` of
-    the sender's service's ownership object as last read.
+    the sender's service's ownership object as last read.  ``asked_rate``
+    counts requests a second that came for keys held here, ``hot`` names the
+    busiest of these keys.
     """
 
     sender: ids.MemberId
@@ -57,6 +59,8 @@
     table_version: ids.BundleVersion
     ownership_version: ids.ObjectVersion
     held: tuple[HeldRange, ...]
+    asked_rate: float = 0.0
+    hot: tuple[heat.Hot, ...] = ()
 
 
 NO_SERVER: typing.Final = ""
--- a/packages/bronzepaddle/src/bronzepaddle/keyplan.py
+++ b/packages/bronzepaddle/src/bronzepaddle/keyplan.py
@@ -1,8 +1,9 @@
 """Plans who should own which keys, from what is known of the servers.
 
 Answers three patterns: the first start, where keys are dealt out evenly; the
-loss or the leaving of a server, whose keys go to those that have fewest; and
-a server that joins, which is given a part, since moving keys has a price.
+loss or the leaving of a server, whose keys go to those that have fewest; a
+server that joins, which is given a part, since moving keys has a price; and
+keys that are busy, which go from a server with too much to one with room.
 The result is written to the store by whoever asked; it decides nothing
 alone.
 """
@@ -12,7 +13,7 @@
 import dataclasses
 import typing
 
-from bronzepaddle import ids, keyranges, routes
+from bronzepaddle import heat, ids, keyranges, routes
 
 PIECES: typing.Final = 64
 """Pieces that the key space is first cut into."""
@@ -21,17 +22,35 @@
 """Part of an even share that a server is given when it joins."""
 
 
+BUSY: typing.Final = 0.7
+"""Share of a server's time asked for, above which it is relieved."""
+
+UNEVEN: typing.Final = 0.2
+"""Difference between two servers' shares that is not worth a move."""
+
+MOST_RANGES: typing.Final = 256
+"""Ranges beyond which busy keys stay: each costs a grant an interval."""
+
+MOST_HOT_MOVES: typing.Final = 12
+"""Groups of busy keys that one plan moves at most."""
+
+
 @dataclasses.dataclass(frozen=True)
 class Standing:
     """One member of a service, as the planner knows it.
 
     ``usable``: its server takes new work.  ``lost``: nothing is to be
-    expected from it any more, so its keys need another owner.
+    expected from it any more, so its keys need another owner.  ``demand``
+    is the share of the server's time that its requests ask for (above 1:
+    more than it has), ``each`` that of one request a second.
     """
 
     holder: keyranges.Holder
     usable: bool
     lost: bool
+    demand: float = 0.0
+    each: float = 0.0
+    hot: tuple[heat.Hot, ...] = ()
 
 
 def plan(
@@ -52,6 +71,8 @@
     moves = list(_from_lost(now, standings, load))
     if not moves:
         moves = list(_to_joiner(now, usable, load))
+    if not moves:
+        moves = list(_from_busy(now, standings))
     return keyranges.moved(now, moves) if moves else None
 
 
@@ -114,6 +135,46 @@
         yield keyranges.Move(first, last, joiner)
 
 
+def _from_busy(
+    now: keyranges.Ownership, standings: collections.abc.Sequence[Standing]
+) -> collections.abc.Iterator[keyranges.Move]:
+    """Yield moves of busy keys from the busiest server to the calmest.
+
+    A group of keys stays where its move would only turn the two around.
+    """
+    able = [one for one in standings if one.usable]
+    if len(able) < 2 or len(now.ranges) > MOST_RANGES:
+        return
+    demand = {one.holder: one.demand for one in able}
+    busiest = max(able, key=lambda one: one.demand)
+    if busiest.demand < BUSY:
+        return
+    moves = 0
+    for hot in busiest.hot:
+        calmest = min(demand, key=lambda holder: demand[holder])
+        gap = demand[busiest.holder] - demand[calmest]
+        if gap < UNEVEN or moves == MOST_HOT_MOVES:
+            return
+        moved = hot.rate * busiest.each
+        if moved > gap or not _owns(now, busiest.holder, hot):
+            continue
+        demand[busiest.holder] -= moved
+        demand[calmest] += moved
+        moves += 1
+        yield keyranges.Move(hot.first, hot.last, calmest)
+
+
+def _owns(
+    now: keyranges.Ownership, holder: keyranges.Holder, hot: heat.Hot
+) -> bool:
+    """Tell whether a holder owns all of some keys."""
+    return all(
+        one.holder == holder
+        for one in now.ranges
+        if one.first <= hot.last and hot.first <= one.last
+    )
+
+
 def _pieces(
     one: keyranges.Range,
 ) -> collections.abc.Iterator[tuple[int, int]]:
--- a/packages/bronzepaddle/src/bronzepaddle/waiting.py
+++ b/packages/bronzepaddle/src/bronzepaddle/waiting.py
@@ -8,9 +8,10 @@
   that are served are served in time; a long line would make all of them
   late at the same throughput.
 - *A flood of the least urgent.*  Ranks are strict: a request waits only for
-  those of its own rank and of more urgent ones.
+  those of its own rank and of more urgent ones, and what these take of the
+  slots is counted out of what it can expect.
 - *A flood of the most urgent*, with calls between servers.  Within a rank
-  the earliest target time goes first, so that a short call, whose failure
+  the shortest target time goes first, so that a short call, whose failure
   would waste its caller's slot, does not wait behind longer work.
 
 A request that must not be repeated may wait beyond its target time: losing
@@ -19,6 +20,7 @@
 
 import dataclasses
 import enum
+import math
 import typing
 
 MEAN_WEIGHT: typing.Final = 0.1
@@ -27,14 +29,25 @@
 FIRST_GUESS_S: typing.Final = 0.05
 """Service time of a kind of work before one was measured."""
 
+SPREAD: typing.Final = 2.0
+"""Multiple of its mean service time that a request is given to be done:
+service times spread, and one that is only done by its mean is often late."""
+
+LEAST_WAIT_SHARE: typing.Final = 0.2
+"""Share of the target time that a request may wait in any case: work that
+was measured to be slow must not be shut out for good."""
+
+LEAST_SLOTS: typing.Final = 0.1
+"""Slots that the least urgent can expect, however much goes before it."""
+
 LATE_SHARE: typing.Final = 0.6
 """Share of its time left that a request which must not be repeated may
 spend in the line."""
 
 LEAST_RETRY_AFTER_S: typing.Final = 0.1
 
-PRESSURE_SPAN_S: typing.Final = 1.0
-"""Time over which the share of requests turned away is counted."""
+SPAN_S: typing.Final = 1.0
+"""Time over which arrivals and the work they bring are counted."""
 
 PRESSURE_RETRY_S: typing.Final = 1.5
 """Time added to a Retry-After while all requests are turned away: room is
@@ -64,6 +77,11 @@
     left_s: float
     idempotent: bool
 
+    @property
+    def level(self) -> tuple[int, float]:
+        """Return what goes before everything of a higher level."""
+        return (self.rank, self.target_s)
+
 
 @dataclasses.dataclass(frozen=True)
 class TurnedAway:
@@ -84,9 +102,9 @@
         self.started = now
 
     @property
-    def order(self) -> tuple[int, float]:
+    def order(self) -> tuple[int, float, float]:
         """Return what decides who goes first: the least does."""
-        return (self.work.rank, self.due)
+        return (*self.work.level, self.due)
 
 
 class Line:
@@ -97,6 +115,9 @@
         self.waiting: list[Place] = []
         self.running = 0
         self.means: dict[str, float] = {}
+        # Slot seconds taken in lately, by level; fades with time.
+        self.taken: dict[tuple[int, float], float] = {}
+        self.refused_at: dict[tuple[int, float], float] = {}
         self.arrived = 0.0
         self.turned_away = 0.0
         self.counted_at = now
@@ -107,9 +128,12 @@
         self.arrived += 1
         place = Place(work, now)
         wait_s = self.expected_wait_s(place)
-        if wait_s > 0 and wait_s + self.mean_s(work.kind) > _patience_s(work):
+        mean_s = self.mean_s(work.kind)
+        if wait_s > allowed_wait_s(work, mean_s):
             self.turned_away += 1
+            self.refused_at[work.level] = now
             return TurnedAway(wait_s, self._retry_after_s(wait_s))
+        self.taken[work.level] = self.taken.get(work.level, 0.0) + mean_s
         self.waiting.append(place)
         return place
 
@@ -123,7 +147,23 @@
             if one is not place and one.order <= place.order
         )
         # The slot that becomes free next is one of many in use.
-        return (ahead_s + self.mean_s(place.work.kind)) / self.slots
+        slots = self._slots_for(place.work.level)
+        return (ahead_s + self.mean_s(place.work.kind)) / slots
+
+    def _slots_for(self, level: tuple[int, float]) -> float:
+        """Return the slots that are left by what is more urgent."""
+        refused_at = max(
+            (at for one, at in self.refused_at.items() if one < level),
+            default=-math.inf,
+        )
+        if self.counted_at - refused_at < SPAN_S:
+            return LEAST_SLOTS
+        before = sum(
+            taken_s / SPAN_S
+            for one, taken_s in self.taken.items()
+            if one < level
+        )
+        return max(LEAST_SLOTS, self.slots - before)
 
     def startable(self, now: float) -> list[Place]:
         """Return what starts now, taken out of the line."""
@@ -182,9 +222,11 @@
 
     def _count(self, now: float) -> None:
         """Let what was counted fade with time."""
-        kept = max(0.0, 1 - (now - self.counted_at) / PRESSURE_SPAN_S)
+        kept = math.exp((self.counted_at - now) / SPAN_S)
         self.arrived *= kept
         self.turned_away *= kept
+        for level in self.taken:
+            self.taken[level] *= kept
         self.counted_at = now
 
     def _retry_after_s(self, wait_s: float) -> float:
@@ -192,6 +234,12 @@
         return max(LEAST_RETRY_AFTER_S, wait_s) + PRESSURE_RETRY_S * pressure
 
 
+def allowed_wait_s(work: Work, mean_s: float) -> float:
+    """Return the wait with which a request still is worth taking in."""
+    patience_s = _patience_s(work)
+    return max(patience_s - SPREAD * mean_s, LEAST_WAIT_SHARE * patience_s)
+
+
 def _patience_s(work: Work) -> float:
     """Return the time in which a request must be expected to be done."""
     if work.idempotent:
