Reload settings, import one root only, test the forms of other writers

Change: a reloader that keeps what is in force when the new text is wrong; lazy import of the root; tests of reports, configurations and settings; the adapter is part of the check of imports' direction.

--- a/misc/check_imports.py
+++ b/misc/check_imports.py
@@ -15,11 +15,14 @@
 PEERS: typing.Final = frozenset(
     f"bronzepaddle_{name}" for name in ("callers", "backend", "store", "peers")
 )
+ADAPTER: typing.Final = "bronzepaddle_platform"
+
 MAY_IMPORT: typing.Final = {
     CORE: frozenset[str](),
     **dict.fromkeys(PEERS, frozenset({CORE})),
     "bronzepaddle_operators": frozenset({CORE, "bronzepaddle_store"}),
-    "bronzepaddle_node": PEERS | {CORE},
+    ADAPTER: PEERS - {"bronzepaddle_peers"} | {CORE},
+    "bronzepaddle_node": PEERS | {CORE, ADAPTER},
     "bronzepaddle_standins": PEERS | {CORE, "bronzepaddle_node"},
 }
 
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/main.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/main.py
@@ -10,9 +10,7 @@
 import click
 import eliot
 import returns.result
-from bronzepaddle import logs, options, sidecar_options
-
-from bronzepaddle_node import node, sidecar
+from bronzepaddle import options, sidecar_options
 
 BAD_SETTINGS_STATUS: typing.Final = 2
 
@@ -28,7 +26,12 @@
     """Run one process of the system until SIGTERM or SIGINT."""
     if sidecar_options.is_for(config):
         _run_sidecar(config)
-        return
+    else:
+        _run_node(config)
+
+
+def _run_node(config: pathlib.Path) -> None:
+    """Run a process that the others of its cell vouch for."""
     match options.load(config):
         case returns.result.Success(settings):
             asyncio.run(_run(settings))
@@ -50,7 +53,7 @@
     match sidecar_options.load(config):
         case returns.result.Success(settings):
             eliot.to_file(sys.stdout)
-            asyncio.run(_serve_until_told(settings))
+            asyncio.run(_serve_until_told(config, settings))
             _end()
         case returns.result.Failure(errors):
             for error in errors:
@@ -58,14 +61,22 @@
             sys.exit(BAD_SETTINGS_STATUS)
 
 
-async def _serve_until_told(settings: sidecar_options.SidecarOptions) -> None:
+async def _serve_until_told(
+    config: pathlib.Path, settings: sidecar_options.SidecarOptions
+) -> None:
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, logs.process, "reload", "")
+    # Each root brings libraries that the other does without; a process
+    # pays memory only for its own.
+    from bronzepaddle_node import reloading, sidecar
+
     process = sidecar.Sidecar(settings)
+    reloader = reloading.Reloader(config, process.reconfigure)
+    loop.add_signal_handler(signal.SIGHUP, reloader.tell)
     await process.start()
+    process.running.start(reloader.run(), "settings")
     await stopping.wait()
     await process.stop()
 
@@ -77,25 +88,15 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
+    from bronzepaddle_node import node
+
     process = node.Node(settings)
     await process.start()
-    click.echo(_ready_line(process))
+    click.echo(process.ready_line())
     await stopping.wait()
     await process.stop()
 
 
-def _ready_line(process: node.Node) -> str:
-    """Return the line that tells where the process listens."""
-    callers = process.callers.address
-    control = process.control.address
-    peers = process.state.identity.address
-    return (
-        f"{process.settings.name} callers={callers.host}:{callers.port} "
-        f"control={control.host}:{control.port} "
-        f"peers={peers.host}:{peers.port}"
-    )
-
-
 def _open_log(settings: options.Options) -> None:
     """Write the log to the file of the settings, or to standard output."""
     if settings.log_file is None:
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/node.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/node.py
@@ -167,6 +167,17 @@
     def _set_leaving(self, leaving: bool) -> None:
         self.state.leaving = leaving
 
+    def ready_line(self) -> str:
+        """Return the line that tells where the process listens."""
+        callers = self.callers.address
+        control = self.control.address
+        peers = self.state.identity.address
+        return (
+            f"{self.settings.name} callers={callers.host}:{callers.port} "
+            f"control={control.host}:{control.port} "
+            f"peers={peers.host}:{peers.port}"
+        )
+
     # Parts.
 
     def _build_membership(self) -> membership.Membership:
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections.abc
 import concurrent.futures
+import dataclasses
 import random
 import time
 import typing
@@ -329,6 +330,16 @@
             hot=self.serving.heat.hottest(),
         )
 
+    def reconfigure(self, settings: sidecar_options.SidecarOptions) -> None:
+        """Take changed settings; addresses stay until the next start."""
+        self.settings = dataclasses.replace(
+            self.settings,
+            grace_s=settings.grace_s,
+            retry_share=settings.retry_share,
+            retry_slack=settings.retry_slack,
+        )
+        self.budgets.share = settings.retry_share * RETRY_SHARE_USED
+
     # The end.
 
     async def stop(self) -> None:
--- /dev/null
+++ b/tests/test_platform_forms.py
@@ -0,0 +1,152 @@
+"""Documents of other writers: what is malformed names nothing to use."""
+
+import typing
+
+import msgspec
+import pytest
+from bronzepaddle import ids, routes
+from bronzepaddle_backend import servers
+from bronzepaddle_platform import config, orders, registry
+
+REPORT: typing.Final[dict[str, typing.Any]] = {
+    "address": "127.0.0.1:8080",
+    "info": {"service": "shop", "version": "v1", "zone": "a", "slots": 9},
+    "status": {"state": "ready", "sequence": 4, "cold_remaining_ms": 1500},
+    "born": 1_700_000_000_000,
+    "later": "a field that nobody knows yet",
+}
+
+
+def changed(
+    document: dict[str, typing.Any], path: str, value: object
+) -> bytes:
+    """Return a document with one value replaced, or taken out."""
+    copy = msgspec.json.decode(msgspec.json.encode(document))
+    place = copy
+    *folders, last = path.split("/")
+    for folder in folders:
+        place = place[int(folder) if folder.isdecimal() else folder]
+    if value is None:
+        del place[last]
+    else:
+        place[last] = value
+    return msgspec.json.encode(copy)
+
+
+def test_report() -> None:
+    said = registry.decode("i-1", msgspec.json.encode(REPORT))
+    assert said == servers.Announcement(
+        "i-1",
+        ids.ServiceName("shop"),
+        "127.0.0.1",
+        8080,
+        9,
+        servers.Stand.READY,
+        4,
+        1_700_000_000_000,
+        1.5,
+    )
+
+
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        ("address", None),
+        ("address", "nowhere"),
+        ("address", 8080),
+        ("info", None),
+        ("info/slots", None),
+        ("info/slots", "9"),
+        ("info/slots", 0),
+        ("info/service", 5),
+        ("status", "ready"),
+        ("status/state", "resting"),
+        ("status/sequence", 1.5),
+        ("status/sequence", None),
+        ("born", 1.5),
+    ],
+)
+def test_malformed_report_names_no_server(path: str, value: object) -> None:
+    with pytest.raises(registry.BadReportError):
+        registry.decode("i-1", changed(REPORT, path, value))
+
+
+@pytest.mark.parametrize("body", [b"", b"\xff\xfe", b"[]", b"{", b"null"])
+def test_unreadable_report_names_no_server(body: bytes) -> None:
+    with pytest.raises(registry.BadReportError):
+        registry.decode("i-1", body)
+
+
+CONFIG: typing.Final[dict[str, typing.Any]] = {
+    "version": "0000001f",
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "one.example",
+            "path_prefix": "/a/",
+            "route_type": "non_idempotent",
+            "timeout_ms": 1200,
+            "target_latency_ms": 400,
+            "priority": 1,
+            "service": "shop",
+            "max_attempts": 2,
+        },
+        {
+            "name": "r-2",
+            "host": "one.example",
+            "path_prefix": "/b/",
+            "route_type": "download",
+            "traffic_split": [
+                {"service": "shop", "weight": 90},
+                {"service": "store", "weight": 10},
+            ],
+        },
+    ],
+    "services": [
+        {"name": "shop", "max_connections": 120, "sharded": True},
+        {"name": "store"},
+    ],
+    "limits": {"max_body_bytes": 1000},
+}
+
+
+def test_config() -> None:
+    table = config.decode(msgspec.json.encode(CONFIG))
+    assert table.version == 0x1F
+    first, second = table.routes
+    assert not first.idempotent
+    assert (first.timeout_s, first.target_s, first.rank) == (1.2, 0.4, 1)
+    assert second.idempotent
+    assert [share.weight for share in second.shares] == [90, 10]
+    assert table.services[ids.ServiceName("shop")].keyed
+    assert table.limits.max_body_bytes == 1000
+
+
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        ("version", None),
+        ("version", "x"),
+        ("version", 5),
+        ("routes", None),
+        ("routes/0/route_type", "odd"),
+        ("routes/0/service", None),
+        ("routes/0/timeout_ms", "long"),
+        ("routes/0/host", None),
+        ("services", "shop"),
+        ("limits", 5),
+    ],
+)
+def test_malformed_config_is_not_taken(path: str, value: object) -> None:
+    with pytest.raises(routes.BadDocumentError):
+        config.decode(changed(CONFIG, path, value))
+
+
+def test_grant_as_the_servers_read_it() -> None:
+    grant = orders.Grant(4096, 8191, 12, 4000)
+    assert msgspec.json.decode(msgspec.json.encode(grant)) == {
+        "from": 4096,
+        "target": 8191,
+        "fence": 12,
+        "hold_ms": 4000,
+    }
--- /dev/null
+++ b/tests/test_sidecar_options.py
@@ -0,0 +1,101 @@
+"""Settings of a sidecar: every wrong key is named with its place."""
+
+import asyncio
+import pathlib
+import typing
+
+import pytest
+import returns.result
+from bronzepaddle import sidecar_options
+from bronzepaddle_node import reloading
+
+TEMPLATE: typing.Final = pathlib.Path("deploy/sidecar.ini")
+
+GOOD: typing.Final = """
+[process]
+name = one
+zone = a
+service = shop
+first-start = true
+[callers]
+listen = 127.0.0.1:1
+[ready]
+listen = 127.0.0.1:2
+[control]
+listen = 127.0.0.1:3
+[peers]
+listen = 127.0.0.1:4
+[platform]
+form = objects
+address = 127.0.0.1:5
+[retries]
+share = 0.2
+"""
+
+
+def load(
+    folder: pathlib.Path, text: str
+) -> tuple[sidecar_options.SidecarOptions | None, list[str]]:
+    path = folder / "node.ini"
+    path.write_text(text, encoding="utf-8")
+    match sidecar_options.load(path):
+        case returns.result.Success(settings):
+            return settings, []
+        case returns.result.Failure(errors):
+            return None, [str(error) for error in errors]
+    raise AssertionError
+
+
+def test_good_settings(tmp_path: pathlib.Path) -> None:
+    settings, errors = load(tmp_path, GOOD)
+    assert errors == []
+    assert settings is not None
+    assert settings.first_start
+    assert settings.callers.port == 1
+    assert sidecar_options.is_for(tmp_path / "node.ini")
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "named"),
+    [
+        ("name = one", "", "[process] name"),
+        ("listen = 127.0.0.1:3", "listen = nowhere", "[control] listen"),
+        ("share = 0.2", "share = much", "[retries] share"),
+        ("share = 0.2", "shares = 0.2", "[retries] shares"),
+        ("[retries]", "[tries]", "[tries]"),
+    ],
+)
+def test_wrong_settings_are_named(
+    tmp_path: pathlib.Path, before: str, after: str, named: str
+) -> None:
+    _, errors = load(tmp_path, GOOD.replace(before, after))
+    assert any(named in error for error in errors)
+
+
+def test_changed_settings_are_applied_and_bad_ones_not(
+    tmp_path: pathlib.Path,
+) -> None:
+    applied: list[float] = []
+    load(tmp_path, GOOD)
+    path = tmp_path / "node.ini"
+
+    async def play() -> None:
+        reloader = reloading.Reloader(
+            path, lambda found: applied.append(found.retry_share)
+        )
+        for share in ("0.2", "0.3", "much", "0.4"):
+            path.write_text(GOOD.replace("0.2", share), encoding="utf-8")
+            reloader.look()
+
+    asyncio.run(play())
+    assert applied == [0.3, 0.4]
+
+
+def test_template_has_only_known_keys() -> None:
+    section = ""
+    for line in TEMPLATE.read_text(encoding="utf-8").splitlines():
+        if line.startswith("["):
+            section = line.strip("[]")
+        elif line:
+            key = line.partition(" =")[0]
+            assert key in sidecar_options.SECTIONS[section]
