--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -55,6 +55,9 @@
 LAST_SHARE: typing.Final = 5 / 6
 """Share of the grace time after which the process ends in any case."""
 
+CLOSE_S: typing.Final = 0.2
+"""Time that each port has to end when the process closes at once."""
+
 STOP_TICK_S: typing.Final = 0.05
 
 RETRY_SHARE_USED: typing.Final = 0.5
@@ -357,5 +360,20 @@
             await self.time.sleep(STOP_TICK_S)
         logs.process("stopped", self.settings.name)
 
+    async def close(self) -> None:
+        """Close every port at once, as when the process is lost."""
+        await self.running.stop()
+        await self.keeper.stop()
+        await self.configuration.stop()
+        for one in (self.callers, self.control, self.readiness):
+            await self.loop.run_in_executor(None, one.stop, CLOSE_S)
+        if self.grpc is not None:
+            self.grpc.close()
+        await self.peers.close()
+        self.udp.close()
+        self.store.close()
+        self.sender.close()
+        self.workers.shutdown(wait=False, cancel_futures=True)
+
     def _busy(self) -> bool:
         return bool(self.router.in_flight or self.serving.in_flight)
