Let owners go on by a peer's reads; move keys away before a stop

Cause: an owner that the store turns away lost its keys after one lease although its peers read the store well; a process that stops left its keys unserved until its next run (silence 2 s, a plan, a lease of wait). Ruled out: a longer lease (keys of a lost VM would wait as much longer). Change: a status names the reads it saw and which statuses came before them, so a member counts its lease from its own status; a stopping member's keys are moved with a handover. A peer silent for 1.1 s is passed over where another is at hand. Shown: stories closed_to_all_but_one and old_news_reach_a_muted_owner; a lease counted from the arrival of such a status is caught by the latter.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/keeping.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/keeping.py
@@ -40,6 +40,9 @@
 """Time between two plans that move busy keys: the counts of the servers
 must have followed the last one."""
 
+STATUSES_KEPT = 64
+"""Statuses whose sending time is remembered."""
+
 LEAST_HOLD_S = 0.1
 """A grant for less time than this is not worth its order."""
 
@@ -55,6 +58,7 @@
     """
 
     name: ids.MemberId
+    incarnation: ids.Incarnation
     service: ids.ServiceName
     times: storeleases.StoreLeaseTimes
     most_hold_s: float
@@ -126,6 +130,8 @@
         self.lease = storeleases.StoreLease(settings.times)
         self.read: Read | None = None
         self.read_at = float("-inf")
+        self.read_after: statuses.ReadAfter | None = None
+        self.sent_at: dict[int, float] = {}
         self.started = time.now()
         self.planned_at = float("-inf")
         self.learned: dict[ids.Token, float] = {}
@@ -184,6 +190,7 @@
     async def _read(self) -> None:
         sent_at = self.time.now()
         self.read_at = sent_at
+        heard = self._heard_from_members()
         try:
             found = await self.objects.get(self.object_name)
         except store.StoreError as error:
@@ -198,6 +205,40 @@
             logs.bad_document(self.object_name, str(error))
             return
         self._adopt(Read(found.version, ownership), sent_at)
+        self.read_after = statuses.ReadAfter(found.version, heard)
+
+    def _heard_from_members(self) -> tuple[statuses.Heard, ...]:
+        """Return the last status heard of each other member."""
+        return tuple(
+            statuses.Heard(
+                peer.status.sender,
+                peer.status.incarnation,
+                peer.status.sequence,
+            )
+            for peer in self.roster.of_service(self.settings.service)
+            if peer.status.sender != self.settings.name
+        )
+
+    def note_sent(self, sequence: int) -> None:
+        """Note that a status is sent now: a peer's read may come after it."""
+        self.sent_at[sequence] = self.time.now()
+        while len(self.sent_at) > STATUSES_KEPT:
+            del self.sent_at[next(iter(self.sent_at))]
+
+    def heard(self, status: statuses.Status) -> None:
+        """Take in what a peer has read of the object in the store."""
+        if status.ownership_version > self.version:
+            self.poke()
+        read = status.read
+        if read is None or read.version != self.version:
+            return
+        for one in read.heard:
+            mine = (self.settings.name, self.settings.incarnation)
+            if (one.member, one.incarnation) != mine:
+                continue
+            sent_at = self.sent_at.get(one.sequence)
+            if sent_at is not None:
+                self.lease.renew(sent_at)
 
     def _adopt(self, read: Read, sent_at: float) -> None:
         """Take a read in: every range of ours is a claim from now on."""
@@ -467,7 +508,7 @@
             yield keyplan.Standing(
                 keyranges.Holder(status.sender, status.run),
                 usable=alive and ready and not status.leaving,
-                lost=silent_s > LOST_S or server_gone,
+                lost=silent_s > LOST_S or server_gone or status.leaving,
                 demand=status.asked_rate * each,
                 each=each,
                 hot=status.hot if even_out else (),
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/roster.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/roster.py
@@ -11,6 +11,9 @@
 from bronzepaddle import choosing, ids
 from bronzepaddle_peers import statuses, streams
 
+FRESH_S: typing.Final = 1.1
+"""Silence after which a peer is passed over where another is at hand."""
+
 SILENT_S: typing.Final = 1.7
 """Silence after which a peer is not sent new requests."""
 
@@ -118,7 +121,15 @@
             and peer.status.state is statuses.ServerState.READY
             and peer.status.sender not in tried
         ]
-        calm = [peer for peer in found if peer.avoid_until <= now]
+        calm = [
+            peer
+            for peer in found
+            if peer.avoid_until <= now
+            and (
+                now - peer.heard_at < FRESH_S
+                or peer.status.sender == self.myself
+            )
+        ]
         return calm or found
 
     def owner(
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -158,6 +158,7 @@
         return keeping.Keeper(
             keeping.Settings(
                 settings.name,
+                self.incarnation,
                 settings.service,
                 settings.lease,
                 settings.most_hold_s,
@@ -287,11 +288,9 @@
         self.announcer.tell_soon()
 
     def _heard(self, status: statuses.Status) -> None:
-        """Take a peer's status in: it may know of a newer ownership."""
-        if status.service != self.settings.service:
-            return
-        if status.ownership_version > self.keeper.version:
-            self.keeper.poke()
+        """Take in what a peer of the same service knows of its keys."""
+        if status.service == self.settings.service:
+            self.keeper.heard(status)
 
     def _learn_table(self, table: routes.Table) -> None:
         self.callers.server.timeout = table.limits.idle_s
@@ -301,6 +300,7 @@
         """Return what the others are told of this process."""
         now = self.time.now()
         self.serving.heat.fade(now)
+        self.keeper.note_sent(sequence)
         seen = self.tracker.seen
         said = None if seen is None else seen.said
         state = statuses.ServerState.ABSENT
@@ -331,6 +331,7 @@
             held=self.held.told(now),
             asked_rate=self.serving.heat.rate(),
             hot=self.serving.heat.hottest(),
+            read=self.keeper.read_after,
         )
 
     def reconfigure(self, settings: sidecar_options.SidecarOptions) -> None:
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/statuses.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/statuses.py
@@ -28,6 +28,26 @@
     token: ids.Token
 
 
+class Heard(msgspec.Struct, frozen=True, array_like=True):
+    """The last status of a peer that came before a read of the store."""
+
+    member: ids.MemberId
+    incarnation: ids.Incarnation
+    sequence: int
+
+
+class ReadAfter(msgspec.Struct, frozen=True, array_like=True):
+    """A read of an ownership object, and what was heard before it was sent.
+
+    Whoever finds itself in ``heard`` knows that the object had ``version``
+    after it sent that status, and may count a lease from then: so members
+    that can't reach the store go on by the reads of those that can.
+    """
+
+    version: ids.ObjectVersion
+    heard: tuple[Heard, ...]
+
+
 class Status(msgspec.Struct, frozen=True, array_like=True):
     """One process at one moment.
 
@@ -39,7 +59,8 @@
     ``table_version`` of the route table in force, ``ownership_version`` of
     the sender's service's ownership object as last read.  ``asked_rate``
     counts requests a second that came for keys held here, ``hot`` names the
-    busiest of these keys.
+    busiest of these keys.  ``read`` is the sender's last read of the
+    ownership object, None if it has none.
     """
 
     sender: ids.MemberId
@@ -61,6 +82,7 @@
     held: tuple[HeldRange, ...]
     asked_rate: float = 0.0
     hot: tuple[heat.Hot, ...] = ()
+    read: ReadAfter | None = None
 
 
 NO_SERVER: typing.Final = ""
--- a/tests/support/broken_keepers.py
+++ b/tests/support/broken_keepers.py
@@ -10,6 +10,7 @@
 
 from bronzepaddle import ids, keyranges, storeleases
 from bronzepaddle_node import keeping
+from bronzepaddle_peers import statuses
 
 _Patches: typing.TypeAlias = list[typing.Any]
 
@@ -116,12 +117,25 @@
     return [unittest.mock.patch.object(keeping.Keeper, "__init__", init)]
 
 
+def _relayed_from_arrival() -> _Patches:
+    """Count a lease by a peer's read from the arrival of its status."""
+
+    def heard(self: keeping.Keeper, status: statuses.Status) -> None:
+        original(self, status)
+        if status.read and status.read.version == self.version:
+            self.lease.renew(self.time.now())
+
+    original = keeping.Keeper.heard
+    return [unittest.mock.patch.object(keeping.Keeper, "heard", heard)]
+
+
 VARIANTS: typing.Final[dict[str, collections.abc.Callable[[], _Patches]]] = {
     "no-wait": _no_wait,
     "short-wait": _short_wait,
     "endless-lease": _endless_lease,
     "no-doubt": _no_doubt,
     "forgetful": _forgetful,
+    "relayed-from-arrival": _relayed_from_arrival,
     "release-any": _release_any,
     "released-by-restart": _unreleased_after_restart,
 }
--- a/tests/support/keepers.py
+++ b/tests/support/keepers.py
@@ -158,6 +158,7 @@
         self.keeper = keeping.Keeper(
             keeping.Settings(
                 self.name,
+                ids.Incarnation(str(started_ms)),
                 SERVICE,
                 storeleases.StoreLeaseTimes(),
                 MOST_HOLD_S,
@@ -213,6 +214,7 @@
         sequence = 0
         while True:
             sequence += 1
+            self.keeper.note_sent(sequence)
             self.around.deliver(self._status(sequence))
             await self.time.sleep(STATUS_S)
 
@@ -241,6 +243,7 @@
             table_version=ids.BundleVersion(1),
             ownership_version=self.keeper.version,
             held=self.held.told(now),
+            read=self.keeper.read_after,
         )
 
     def hear_status(self, status: statuses.Status) -> None:
@@ -248,8 +251,7 @@
         if not self.time.running.is_set():
             return
         self.roster.learn(status, self.time.now())
-        if status.ownership_version > self.keeper.version:
-            self.keeper.poke()
+        self.keeper.heard(status)
 
     async def end(self) -> None:
         """End as when the process is killed."""
@@ -266,6 +268,8 @@
         self.objects = world.FakeObjects()
         self.servers: dict[str, FakeServer] = {}
         self.processes: dict[str, Process] = {}
+        self.muted: set[str] = set()
+        self.delays_s: dict[str, float] = {}
         self.cut: set[frozenset[str]] = set()
         self.orders_late = False
         self.late_share = 0.5
@@ -296,7 +300,10 @@
         for name, process in list(self.processes.items()):
             if frozenset((name, str(status.sender))) in self.cut:
                 continue
-            self.loop.call_later(0.002, process.hear_status, status)
+            if str(status.sender) in self.muted:
+                continue
+            delay_s = self.delays_s.get(name, 0.002)
+            self.loop.call_later(delay_s, process.hear_status, status)
 
     def check(self) -> None:
         """Note a violation if two servers hold one key.
--- a/tests/test_store_leases.py
+++ b/tests/test_store_leases.py
@@ -66,6 +66,25 @@
     assert around.covered()
 
 
+async def closed_to_all_but_one(around: keepers.Keepers) -> None:
+    """Close the store to three: they go on by the fourth one's reads."""
+    await keepers.begin(around)
+    for name in ("a", "b", "c"):
+        await keepers.happen(around, "offline", name)
+    for _ in range(200):
+        await asyncio.sleep(0.1)
+        assert around.covered()
+
+
+async def old_news_reach_a_muted_owner(around: keepers.Keepers) -> None:
+    """Bring statuses late to an owner that others take for lost."""
+    await keepers.begin(around)
+    around.delays_s["a"] = 2.4
+    await keepers.happen(around, "offline", "a")
+    around.muted.add("a")
+    await asyncio.sleep(9.0)
+
+
 async def heirs_restart_while_the_lost_owner_acts(
     around: keepers.Keepers,
 ) -> None:
@@ -87,6 +106,8 @@
     all_but_one_are_lost,
     killed_process_beside_a_live_server,
     server_that_drains_hands_over,
+    closed_to_all_but_one,
+    old_news_reach_a_muted_owner,
     heirs_restart_while_the_lost_owner_acts,
     late_grant_of_a_killed_process,
 )
@@ -113,6 +134,7 @@
     "endless-lease": (3, None),
     "no-doubt": (10, None),
     "forgetful": (125, None),
+    "relayed-from-arrival": (1, old_news_reach_a_muted_owner),
     "release-any": (57, None),
     "released-by-restart": (1, heirs_restart_while_the_lost_owner_acts),
 }
