--- a/packages/bronzepaddle-backend/src/bronzepaddle_backend/connections.py
+++ b/packages/bronzepaddle-backend/src/bronzepaddle_backend/connections.py
@@ -13,7 +13,6 @@
 import select
 import socket
 import threading
-import time
 import typing
 
 import urllib3
@@ -25,9 +24,11 @@
 """A socket's timeout of 0 would mean not to wait at all."""
 
 REPEATABLE_IDLE_S: typing.Final = 4.0
+"""Idle time after which a connection is not reused."""
+
 ONCE_IDLE_S: typing.Final = 1.0
-"""Idle time after which a connection is not reused for a request that must
-not be repeated: the server may be closing it, and the request be lost."""
+"""The same for a request that must not be repeated: the server may be
+closing the connection, and the request would be lost."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -53,7 +54,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Outgoing:
-    """One request for the backend server; ``deadline`` by ``time_now``."""
+    """One request for the backend server; ``deadline`` on our clock."""
 
     request_id: ids.RequestId
     caller_service: ids.ServiceName
@@ -397,8 +398,3 @@
         return None if value is None else float(value)
     except ValueError:
         return None
-
-
-def monotonic() -> float:
-    """Return the time that deadlines of requests are counted on."""
-    return time.monotonic()
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/keeping.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/keeping.py
@@ -10,6 +10,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import typing
 
 import msgspec
 from bronzepaddle import (
@@ -27,26 +28,26 @@
 
 from bronzepaddle_node import keys, roster, tasks
 
-TICK_S = 0.1
+TICK_S: typing.Final = 0.1
 
-FIRST_PLAN_S = 3.0
+FIRST_PLAN_S: typing.Final = 3.0
 """Time after the start in which members find each other before the first
 plan; a later correction would move keys."""
 
-LOST_S = 2.0
+LOST_S: typing.Final = 2.0
 """Silence of a member after which its keys go to others."""
 
-EVEN_OUT_EVERY_S = 1.2
+EVEN_OUT_EVERY_S: typing.Final = 1.2
 """Time between two plans that move busy keys: the counts of the servers
 must have followed the last one."""
 
-STATUSES_KEPT = 64
+STATUSES_KEPT: typing.Final = 64
 """Statuses whose sending time is remembered."""
 
-LEAST_HOLD_S = 0.1
+LEAST_HOLD_S: typing.Final = 0.1
 """A grant for less time than this is not worth its order."""
 
-RENEW_BELOW = 0.6
+RENEW_BELOW: typing.Final = 0.6
 """Share of the longest hold below which a grant is renewed."""
 
 
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -64,6 +64,9 @@
 """Part of the budget of second sends that is given out to processes: each
 counts for itself, and their windows do not begin together."""
 
+LEAST_RETRIES: typing.Final = 1.0
+"""Second sends that a process may save up, however many share the budget."""
+
 _T = typing.TypeVar("_T")
 
 
@@ -100,7 +103,7 @@
         self.sender = orders.Sender()
         self.peers = streams.Client()
         self.budgets = retries.Budgets(
-            settings.retry_share * RETRY_SHARE_USED, 1.0
+            settings.retry_share * RETRY_SHARE_USED, LEAST_RETRIES
         )
         self.router = router.Router(
             settings.name,
@@ -301,6 +304,9 @@
         now = self.time.now()
         self.serving.heat.fade(now)
         self.keeper.note_sent(sequence)
+        slack = self.settings.retry_slack * RETRY_SHARE_USED
+        processes = max(1, len(self.roster.peers))
+        self.budgets.most = max(LEAST_RETRIES, slack / processes)
         seen = self.tracker.seen
         said = None if seen is None else seen.said
         state = statuses.ServerState.ABSENT
