Open and give back connections in one place; drop what was dead

Cause: a request and an order each opened a connection, told a refused one and gave it back in code of their own; three ports were built by one copied block; a case of the router could not differ from what follows it, and a field was read by nobody. Change: one piece for each; behaviour stays. Checked by format, lint, types, tests/test_connections.py and tests/integration/test_sidecar.py.

--- a/packages/bronzepaddle-backend/src/bronzepaddle_backend/connections.py
+++ b/packages/bronzepaddle-backend/src/bronzepaddle_backend/connections.py
@@ -140,12 +140,14 @@
         if left_s <= LEAST_TIMEOUT_S:
             return self._refuse(verdicts.Reason.TOO_LATE)
         try:
-            connection = self._connect(outgoing, left_s)
+            connection = self._connect(
+                REPEATABLE_IDLE_S if outgoing.idempotent else ONCE_IDLE_S,
+                min(CONNECT_TIMEOUT_S, left_s),
+            )
         except (OSError, urllib3.exceptions.HTTPError) as error:
-            refused = isinstance(error.__cause__, ConnectionRefusedError)
             why = (
                 verdicts.Reason.SERVER_ENDED
-                if refused
+                if _nothing_listens(error)
                 else verdicts.Reason.CONNECT_FAILED
             )
             return self._refuse(why, error)
@@ -154,10 +156,7 @@
             return self._refuse(verdicts.Reason.CANCELLED)
         try:
             return self._exchange(connection, outgoing, cancellation)
-        except TimeoutError as error:
-            connection.close()
-            return self._lost(verdicts.Reason.DEADLINE, error)
-        except urllib3.exceptions.TimeoutError as error:
+        except (TimeoutError, urllib3.exceptions.TimeoutError) as error:
             connection.close()
             return self._lost(verdicts.Reason.DEADLINE, error)
         except OddAnswerError as error:
@@ -175,15 +174,14 @@
             cancellation.detach()
 
     def _connect(
-        self, outgoing: Outgoing, left_s: float
+        self, longest_idle_s: float, timeout_s: float
     ) -> urllib3.connection.HTTPConnection:
         """Return a kept connection that still looks well, or a new one."""
-        longest_s = REPEATABLE_IDLE_S if outgoing.idempotent else ONCE_IDLE_S
-        kept = self._kept(longest_s)
+        kept = self._kept(longest_idle_s)
         if kept is not None:
             return kept
         connection = urllib3.connection.HTTPConnection(
-            self.host, self.port, timeout=min(CONNECT_TIMEOUT_S, left_s)
+            self.host, self.port, timeout=timeout_s
         )
         connection.connect()
         return connection
@@ -225,10 +223,7 @@
         body = response.read(decode_content=False)
         answer = self._judge(outgoing, response, body)
         cancellation.detach()
-        if _reusable(response):
-            self._keep(connection)
-        else:
-            connection.close()
+        self._give_back(connection, response)
         return answer
 
     def _headers(
@@ -295,16 +290,11 @@
 
         Raises ``OrderLostError`` when it may or may not be carried out.
         """
-        connection = self._kept(ONCE_IDLE_S)
         try:
-            if connection is None:
-                connection = urllib3.connection.HTTPConnection(
-                    self.host, self.port, timeout=CONNECT_TIMEOUT_S
-                )
-                connection.connect()
+            connection = self._connect(ONCE_IDLE_S, CONNECT_TIMEOUT_S)
         except (OSError, urllib3.exceptions.HTTPError) as error:
-            refused = isinstance(error.__cause__, ConnectionRefusedError)
-            raise OrderNotSentError(repr(error), refused) from error
+            ended = _nothing_listens(error)
+            raise OrderNotSentError(repr(error), ended) from error
         try:
             connection.sock.settimeout(timeout_s)
             connection.request(
@@ -324,11 +314,19 @@
         ) as error:
             connection.close()
             raise OrderLostError(repr(error)) from error
+        self._give_back(connection, response)
+        return response.status, urllib3.HTTPHeaderDict(response.headers)
+
+    def _give_back(
+        self,
+        connection: urllib3.connection.HTTPConnection,
+        response: urllib3.BaseHTTPResponse,
+    ) -> None:
+        """Keep a connection after its whole answer, if it may be reused."""
         if _reusable(response):
             self._keep(connection)
         else:
             connection.close()
-        return response.status, urllib3.HTTPHeaderDict(response.headers)
 
     def _keep(self, connection: urllib3.connection.HTTPConnection) -> None:
         with self.lock:
@@ -375,6 +373,11 @@
     """An order has no answer: it may be carried out now, later or never."""
 
 
+def _nothing_listens(error: Exception) -> bool:
+    """Tell whether a connection was refused: the server has ended."""
+    return isinstance(error.__cause__, ConnectionRefusedError)
+
+
 def _quiet(connection: urllib3.connection.HTTPConnection) -> bool:
     """Tell whether a kept connection is open and has nothing to read."""
     if connection.sock is None:
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
@@ -56,7 +56,6 @@
     """
 
     arrival: intake.Arrival
-    table: routes.Table
     route: routes.Route
     service: ids.ServiceName
     deadline: float
@@ -149,7 +148,6 @@
         left_s = min(arrival.time_left_s or DEFAULT_TIME_S, route.timeout_s)
         progress = _Progress(
             arrival=arrival,
-            table=table,
             route=route,
             service=service,
             deadline=began + left_s - LATE_MARGIN_S,
@@ -224,11 +222,9 @@
                 return None
             progress.tried.clear()
             return PLACE_PAUSE_S
-        if progress.keyed or answer.reason is verdicts.Reason.NO_BACKEND:
-            # Nobody else has the key; or nobody at all is there.
-            alone = progress.keyed or not progress.tried
-            if alone:
-                return None
+        if progress.keyed:
+            # Nobody else has the key.
+            return None
         others = self.roster.able(progress.service, now, progress.tried)
         if not others or progress.tries > progress.route.most_sends + 1:
             return None
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -20,6 +20,7 @@
     clocks,
     ids,
     logs,
+    options,
     retries,
     routes,
     sidecar_options,
@@ -201,38 +202,36 @@
 
     def _serve_http(self) -> None:
         settings = self.settings
-        limits = routes.Limits()
-        drain_s = settings.grace_s * (1 - LAST_SHARE) / 2
-        self.callers = server.HttpServer(
+        self.callers = self._http(
             intake.Intake(self._serve, names.CALLERS, self._max_body_bytes),
             settings.callers,
-            server.Limits(
-                settings.threads,
-                limits.max_header_bytes,
-                limits.idle_s,
-                drain_s,
-            ),
+            settings.threads,
         )
-        self.control = server.HttpServer(
+        self.control = self._http(
             registry.Registry(self._announced, self._left),
             settings.control,
-            server.Limits(
-                CONTROL_THREADS,
-                limits.max_header_bytes,
-                limits.idle_s,
-                drain_s,
-            ),
+            CONTROL_THREADS,
         )
-        self.readiness = server.HttpServer(
-            registry.Readiness(self._ready),
-            settings.ready,
-            server.Limits(
-                READY_THREADS, limits.max_header_bytes, limits.idle_s, drain_s
-            ),
+        self.readiness = self._http(
+            registry.Readiness(self._ready), settings.ready, READY_THREADS
         )
         for one in (self.control, self.readiness, self.callers):
             one.start()
 
+    def _http(
+        self, root: object, listen: options.Endpoint, threads: int
+    ) -> server.HttpServer:
+        """Return a server on one port, not yet listening."""
+        limits = routes.Limits()
+        drain_s = self.settings.grace_s * (1 - LAST_SHARE) / 2
+        return server.HttpServer(
+            root,
+            listen,
+            server.Limits(
+                threads, limits.max_header_bytes, limits.idle_s, drain_s
+            ),
+        )
+
     def _serve(self, arrival: intake.Arrival) -> answers.Answer:
         """Serve a caller's request; runs on a thread of its server."""
         return asyncio.run_coroutine_threadsafe(
