--- a/tests/support/keepers.py
+++ b/tests/support/keepers.py
@@ -110,6 +110,8 @@
         """Grant keys: now, late, or never."""
         around, server = self.server.around, self.server
         arrived = around.loop.time()
+        if int(given.hold_s * 1000) < 1:
+            around.violations.append(f"a grant for no time: {given}")
         await self._reach()
         if around.orders_late and around.draw.random() < around.late_share:
             late_s = around.draw.uniform(*around.late_s)
