Refuse requests that ended the runs of two servers, in every process

Cause: this root had no memory of requests that end the servers which run them; one that its caller sends again took a server down each time, as long as it came. Ruled out: running a suspect alone, as the other root does: with 9 to 18 slots it holds up far more work than the second run that it would save. Runs that left in good order suspect nobody.

--- a/packages/bronzepaddle-callers/src/bronzepaddle_callers/intake.py
+++ b/packages/bronzepaddle-callers/src/bronzepaddle_callers/intake.py
@@ -30,6 +30,8 @@
 
     ``verdict`` and ``reason`` are empty where answers do not carry them;
     ``dropped`` are headers that a caller may not set, in lower case.
+    ``own_statuses`` gives the status of refusals that have another one than
+    in the product's own form.
     """
 
     request_id: str
@@ -38,6 +40,7 @@
     verdict: str
     reason: str
     dropped: frozenset[str]
+    own_statuses: collections.abc.Mapping[verdicts.Reason, int]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -150,7 +153,9 @@
     ) -> collections.abc.Iterable[bytes]:
         """Write an answer's status and headers; return its body."""
         response = cherrypy.serving.response
-        response.status = answer.status
+        response.status = self.names.own_statuses.get(
+            answer.reason, answer.status
+        )
         response.headers.pop("Content-Type", None)
         names = self.names
         for name, value in answer.headers:
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/owner.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/owner.py
@@ -287,7 +287,9 @@
         """
         first = next(body, b"")
         whole = itertools.chain((first,) if first else (), body)
-        fingerprint = suspects.fingerprint(request, first)
+        fingerprint = suspects.fingerprint(
+            request.service, request.method, request.target, first
+        )
         crashes_before = self.sharing.crashes(fingerprint)
         if crashes_before >= suspects.CRASHES_BEFORE_REFUSAL:
             return self._refuse(verdicts.Reason.SUSPECT)
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
@@ -28,7 +28,7 @@
 from bronzepaddle_callers import intake
 from bronzepaddle_peers import exchanges, streams
 
-from bronzepaddle_node import roster, serving
+from bronzepaddle_node import crashwatch, roster, serving
 
 LATE_MARGIN_S: typing.Final = 0.02
 """Time kept from a request's deadline for the way of its answer."""
@@ -217,6 +217,8 @@
         Where a key moves, its next owner is waited for a while; a server
         with no room is passed over for another that may have some.
         """
+        if answer.reason is verdicts.Reason.SUSPECT:
+            return None
         if answer.reason in _PLACE_REASONS and progress.keyed:
             if now + PLACE_PAUSE_S > progress.place_until:
                 return None
@@ -240,6 +242,13 @@
         left_s = progress.deadline - now
         if left_s <= 0:
             return self._refuse(verdicts.Reason.TOO_LATE)
+        arrival = progress.arrival
+        if self.local.crashes.refuses(
+            progress.service, arrival.method, arrival.target, arrival.body
+        ):
+            return self._refuse(
+                verdicts.Reason.SUSPECT, retry_after_s=crashwatch.REFUSE_S
+            )
         peer = self._choose(progress, now)
         if peer is None:
             why = (
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/serving.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/serving.py
@@ -10,11 +10,19 @@
 import concurrent.futures
 import typing
 
-from bronzepaddle import answers, clocks, heat, ids, verdicts, waiting
+from bronzepaddle import (
+    answers,
+    clocks,
+    heat,
+    ids,
+    suspects,
+    verdicts,
+    waiting,
+)
 from bronzepaddle_backend import connections, servers
 from bronzepaddle_peers import exchanges, streams
 
-from bronzepaddle_node import keys
+from bronzepaddle_node import crashwatch, keys
 
 DRAIN_START_S: typing.Final = 1.0
 """Time after a server's leaving for which admitted requests still start."""
@@ -61,10 +69,12 @@
         tracker: servers.Tracker,
         held: keys.HeldKeys,
         workers: concurrent.futures.Executor,
+        crashes: crashwatch.CrashWatch,
         time: clocks.Clock,
         lost: collections.abc.Callable[[], None],
     ) -> None:
         self.name = name
+        self.crashes = crashes
         self.lost = lost
         self.wire = wire
         self.tracker = tracker
@@ -83,6 +93,8 @@
             return
         if known is not None:
             known.links.close()
+            self._run_ended()
+        self.crashes.new_run()
         links = connections.Connections(
             self.name, said.host, said.port, self.wire, self.time.now
         )
@@ -91,6 +103,12 @@
         )
         self.held.run_changed(said.run)
 
+    def _run_ended(self) -> None:
+        """Suspect what was at the server, unless it has left in good order."""
+        seen = self.tracker.seen
+        if seen is None or seen.drained_at is None:
+            self.crashes.run_ended()
+
     def outstanding(self) -> int:
         """Return how many requests wait or run."""
         return 0 if self.server is None else self.in_flight
@@ -113,6 +131,8 @@
             return self._refuse(
                 why or verdicts.Reason.NO_BACKEND, MOVING_RETRY_S
             )
+        if self.crashes.refuses(ask.service, ask.method, ask.target, ask.body):
+            return self._refuse(verdicts.Reason.SUSPECT, crashwatch.REFUSE_S)
         if ask.key >= 0:
             self.heat.note(ask.key)
         now = self.time.now()
@@ -182,7 +202,7 @@
             self.workers, server.links.send, outgoing, cancellation
         )
         running.add_done_callback(
-            lambda done: self._ended(server, place, done)
+            lambda done: self._ended(server, place, ask, done)
         )
         try:
             return await asyncio.shield(running)
@@ -194,6 +214,7 @@
         self,
         server: Server,
         place: waiting.Place,
+        ask: exchanges.Ask,
         done: "asyncio.Future[answers.Answer]",
     ) -> None:
         """Give the slot back once the worker thread is through."""
@@ -203,9 +224,16 @@
         server.sent.discard(place)
         server.line.leave(place, now, ran)
         server.fill(now)
-        if answer is None:
+        if answer is None or server is not self.server:
             return
+        self.crashes.answered(
+            suspects.fingerprint(
+                ask.service, ask.method, ask.target, ask.body
+            ),
+            answer.reason,
+        )
         if answer.reason is verdicts.Reason.SERVER_ENDED:
+            self._run_ended()
             self.tracker.unreachable = True
             self.lost()
 
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -34,6 +34,7 @@
 from bronzepaddle_node import (
     announcing,
     configuration,
+    crashwatch,
     keeping,
     keys,
     listening,
@@ -92,12 +93,16 @@
         self.workers = concurrent.futures.ThreadPoolExecutor(
             settings.backend_threads, thread_name_prefix="backend"
         )
+        self.crashes = crashwatch.CrashWatch(
+            self.time, lambda: self.announcer.tell_soon()
+        )
         self.serving = serving.Serving(
             settings.name,
             names.SERVERS,
             self.tracker,
             self.held,
             self.workers,
+            self.crashes,
             self.time,
             self._server_lost,
         )
@@ -290,7 +295,8 @@
         self.announcer.tell_soon()
 
     def _heard(self, status: statuses.Status) -> None:
-        """Take in what a peer of the same service knows of its keys."""
+        """Take in what a peer knows of suspects, and of its keys."""
+        self.crashes.heard(status)
         if status.service == self.settings.service:
             self.keeper.heard(status)
 
@@ -337,6 +343,7 @@
             asked_rate=self.serving.heat.rate(),
             hot=self.serving.heat.hottest(),
             read=self.keeper.read_after,
+            suspects=self.crashes.told(),
         )
 
     def reconfigure(self, settings: sidecar_options.SidecarOptions) -> None:
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/statuses.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/statuses.py
@@ -48,6 +48,16 @@
     heard: tuple[Heard, ...]
 
 
+class Suspicion(msgspec.Struct, frozen=True, array_like=True):
+    """A request that was at a server when its run ended, so often.
+
+    No crashes: it has had a whole answer since.
+    """
+
+    fingerprint: str
+    crashes: int
+
+
 class Status(msgspec.Struct, frozen=True, array_like=True):
     """One process at one moment.
 
@@ -60,7 +70,7 @@
     the sender's service's ownership object as last read.  ``asked_rate``
     counts requests a second that came for keys held here, ``hot`` names the
     busiest of these keys.  ``read`` is the sender's last read of the
-    ownership object, None if it has none.
+    ownership object, None if it has none.  ``suspects`` are changes of late.
     """
 
     sender: ids.MemberId
@@ -83,6 +93,7 @@
     asked_rate: float = 0.0
     hot: tuple[heat.Hot, ...] = ()
     read: ReadAfter | None = None
+    suspects: tuple[Suspicion, ...] = ()
 
 
 NO_SERVER: typing.Final = ""
--- a/packages/bronzepaddle/src/bronzepaddle/logs.py
+++ b/packages/bronzepaddle/src/bronzepaddle/logs.py
@@ -198,6 +198,13 @@
     eliot.log_message(message_type="server", what=what, run=run, detail=detail)
 
 
+def suspect(fingerprint: str, crashes: int) -> None:
+    """Log a request that was at a server when its run ended."""
+    eliot.log_message(
+        message_type="suspect", fingerprint=fingerprint, crashes=crashes
+    )
+
+
 def in_force(version: ids.BundleVersion, source: str) -> None:
     """Log the configuration that is in force from now on."""
     eliot.log_message(message_type="in-force", version=version, source=source)
--- a/packages/bronzepaddle/src/bronzepaddle/suspects.py
+++ b/packages/bronzepaddle/src/bronzepaddle/suspects.py
@@ -12,7 +12,7 @@
 
 import xxhash
 
-from bronzepaddle import answers
+from bronzepaddle import ids
 
 CRASHES_BEFORE_REFUSAL: typing.Final = 2
 FORGET_AFTER_S: typing.Final = 3600.0
@@ -29,9 +29,11 @@
     at: float
 
 
-def fingerprint(request: answers.Request, body: bytes) -> Fingerprint:
+def fingerprint(
+    service: ids.ServiceName, method: str, target: str, body: bytes
+) -> Fingerprint:
     """Return the fingerprint of a request with the start of its body."""
-    text = f"{request.service}\0{request.method}\0{request.target}\0"
+    text = f"{service}\0{method}\0{target}\0"
     return Fingerprint(xxhash.xxh3_128_hexdigest(text.encode() + body))
 
 
@@ -46,11 +48,16 @@
 
     def crashes(self, one: Fingerprint, now: float) -> int:
         """Return the crashes that a request was in flight at."""
+        found = self.standing(one, now)
+        return 0 if found is None else found.crashes
+
+    def standing(self, one: Fingerprint, now: float) -> Standing | None:
+        """Return the standing of a suspect, None of any other request."""
         with self.lock:
             found = self.known.get(one)
-            if found is None or now - found.at > FORGET_AFTER_S:
-                return 0
-            return found.crashes
+        if found is None or now - found.at > FORGET_AFTER_S:
+            return None
+        return found
 
     def note(self, one: Fingerprint, crashes: int, now: float) -> None:
         """Take in that a request has been in flight at so many crashes."""
