--- a/packages/bronzepaddle-node/src/bronzepaddle_node/announcing.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/announcing.py
@@ -99,6 +99,7 @@
         status = self.describe(self.sequence)
         now = self.time.now()
         self.roster.learn(status, now)
+        self._note_silence(now)
         targets = dict(self.listed)
         for name, peer in self.roster.peers.items():
             silent_s = now - peer.heard_at
@@ -113,6 +114,14 @@
         for address in targets.values():
             self.udp.send(address, status)
 
+    def _note_silence(self, now: float) -> None:
+        """Log which peers are passed over from now on, or used again."""
+        for name, peer in self.roster.peers.items():
+            alive = self.roster.alive(peer, now)
+            if alive != peer.logged_alive:
+                peer.logged_alive = alive
+                logs.peer(name, alive, now - peer.heard_at)
+
     async def register(self) -> None:
         """Write this process into the store, then read who else is there."""
         name = f"{FOLDER}/{self.roster.myself}"
@@ -123,7 +132,7 @@
                 found = await self.objects.list(FOLDER)
                 break
             except store.StoreError as error:
-                logs.dependency("store", False, repr(error))
+                logs.call_failed(name, repr(error))
                 await self.time.sleep(
                     RETRY_S * (1 + secrets.randbelow(100) / 100)
                 )
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/configuration.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/configuration.py
@@ -74,7 +74,7 @@
             try:
                 found = await self._next()
             except store.StoreError as error:
-                logs.dependency("store", False, str(error))
+                logs.call_failed(self.object_name, repr(error))
                 await self.time.sleep(RETRY_S)
                 continue
             if found is None:
@@ -105,7 +105,7 @@
                 self.adopt(reply.document, f"peer {status.sender}")
         except client.BROKEN as error:
             # The next status that names a newer version asks again.
-            logs.dependency(f"peer {status.sender}", False, repr(error))
+            logs.call_failed(f"config of {status.sender}", repr(error))
         finally:
             self.pulling = False
 
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/keeping.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/keeping.py
@@ -3,8 +3,9 @@
 Runs in every process beside a server whose service is divided by key.  It
 reads the object again and again, which is what its lease rests on; grants
 the server what the object gives it, as soon as no earlier holder can act on
-it; releases what went to others and says so in the object; and one member of
-the service, the first by name, writes the plan for whoever was lost or came.
+it; releases what went to others and says so in the object.  ``planning`` says
+what the object should say next; the first member of the service by name
+writes that.
 """
 
 import asyncio
@@ -16,7 +17,6 @@
 from bronzepaddle import (
     clocks,
     ids,
-    keyplan,
     keyranges,
     logs,
     routes,
@@ -26,21 +26,10 @@
 from bronzepaddle_peers import statuses
 from bronzepaddle_store import store
 
-from bronzepaddle_node import keys, roster, tasks
+from bronzepaddle_node import keys, planning, roster, tasks
 
 TICK_S: typing.Final = 0.1
 
-FIRST_PLAN_S: typing.Final = 3.0
-"""Time after the start in which members find each other before the first
-plan; a later correction would move keys."""
-
-LOST_S: typing.Final = 2.0
-"""Silence of a member after which its keys go to others."""
-
-EVEN_OUT_EVERY_S: typing.Final = 1.2
-"""Time between two plans that move busy keys: the counts of the servers
-must have followed the last one."""
-
 STATUSES_KEPT: typing.Final = 64
 """Statuses whose sending time is remembered."""
 
@@ -134,7 +123,6 @@
         self.read_after: statuses.ReadAfter | None = None
         self.sent_at: dict[int, float] = {}
         self.started = time.now()
-        self.planned_at = float("-inf")
         self.learned: dict[ids.Token, float] = {}
         # An earlier run of this process may have sent grants that have no
         # answer yet and are carried out late.
@@ -143,6 +131,18 @@
         self.releasing: set[tuple[int, int, ids.Token]] = set()
         self.poked = asyncio.Event()
         self.running = tasks.Tasks()
+        self.planner = planning.Planner(
+            settings.name,
+            settings.service,
+            settings.first_start,
+            known,
+            self.started,
+        )
+        self.lease_held = False
+        # The time for which keys that are ours were not held by the server,
+        # times their share of all keys, and up to when that is counted.
+        self.unheld_s = 0.0
+        self.counted_at = self.started
 
     @property
     def version(self) -> ids.ObjectVersion:
@@ -177,8 +177,10 @@
 
     async def _step(self) -> None:
         now = self.time.now()
+        self._count_unheld(now)
         if now - self.read_at >= self.settings.times.read_every_s:
             await self._read()
+        self._note_lease()
         if self.read is None:
             return
         ownership = self.read.ownership
@@ -186,6 +188,24 @@
             await self._follow(ownership)
         await self._plan(ownership)
 
+    def _note_lease(self) -> None:
+        """Log when the lease has begun or run out."""
+        now = self.time.now()
+        held = self.lease.holds(now)
+        if held != self.lease_held:
+            self.lease_held = held
+            logs.lease(held, self.lease.left_s(now), self.version)
+
+    def _count_unheld(self, now: float) -> None:
+        """Count for how long keys of ours are not served."""
+        passed_s, self.counted_at = now - self.counted_at, now
+        if self.read is None or self.read.ownership is None:
+            return
+        mine = self.read.ownership.owned_by(self.settings.name)
+        owned = sum(one.size for one in mine)
+        unheld = max(0, owned - self.held.size(now))
+        self.unheld_s += passed_s * unheld / routes.KEY_COUNT
+
     # The object.
 
     async def _read(self) -> None:
@@ -195,7 +215,7 @@
         try:
             found = await self.objects.get(self.object_name)
         except store.StoreError as error:
-            logs.dependency("store", False, str(error))
+            logs.call_failed(self.object_name, repr(error))
             return
         if found is None:
             self._adopt(Read(ids.NO_VERSION, None), sent_at)
@@ -434,6 +454,8 @@
         fresh = keys.Held(one.first, one.last, one.token, until)
         self.held.set([*others, fresh])
         if new:
+            hold_s = until - self.time.now()
+            logs.keys_granted(one.first, one.last, one.token, hold_s)
             self.changed()
 
     async def _settle(self) -> None:
@@ -461,59 +483,14 @@
         if after is before or await self._write(after):
             self.freed = [one for one in self.freed if one.until > now]
 
-    # The plan.
-
     async def _plan(self, ownership: keyranges.Ownership | None) -> None:
         """Write the next plan, if that is for this member to do."""
         now = self.time.now()
-        early = now - self.started < FIRST_PLAN_S
-        if early and (ownership is not None or self.settings.first_start):
-            return
-        if not self.lease.holds(now) or not self._plans(now):
+        if not self.lease.holds(now):
             return
-        even_out = now - self.planned_at >= EVEN_OUT_EVERY_S
-        after = keyplan.plan(
-            ownership,
-            self.settings.service,
-            list(self._standings(now, even_out)),
-        )
+        after = self.planner.next(ownership, now)
         if after is not None and await self._write(after):
-            self.planned_at = now
-            logs.planned(self.settings.service, after)
-
-    def _plans(self, now: float) -> bool:
-        """Tell whether this is the first live member by name."""
-        alive = [
-            peer.status.sender
-            for peer in self.roster.of_service(self.settings.service)
-            if self.roster.alive(peer, now) and not peer.status.leaving
-        ]
-        return not alive or min(alive) == self.settings.name
-
-    def _standings(
-        self, now: float, even_out: bool
-    ) -> collections.abc.Iterator[keyplan.Standing]:
-        for peer in self.roster.of_service(self.settings.service):
-            status = peer.status
-            alive = self.roster.alive(peer, now)
-            ready = status.state is statuses.ServerState.READY
-            silent_s = (
-                0.0
-                if status.sender == self.settings.name
-                else now - peer.heard_at
-            )
-            # A process that has not heard of its server yet may have been
-            # started anew beside one that holds its keys still.
-            server_gone = not ready and bool(status.run)
-            each = status.service_s / max(1, status.slots)
-            yield keyplan.Standing(
-                keyranges.Holder(status.sender, status.run),
-                usable=alive and ready and not status.leaving,
-                lost=silent_s > LOST_S or server_gone or status.leaving,
-                demand=status.asked_rate * each,
-                each=each,
-                hot=status.hot if even_out else (),
-            )
+            self.planner.written(after, now)
 
     async def stop(self) -> None:
         """End what is running."""
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/keys.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/keys.py
@@ -50,6 +50,12 @@
         found = self.ranges[at]
         return key <= found.last and now < found.until
 
+    def size(self, now: float) -> int:
+        """Return how many keys are held."""
+        return sum(
+            one.last - one.first + 1 for one in self.ranges if now < one.until
+        )
+
     def told(self, now: float) -> tuple[statuses.HeldRange, ...]:
         """Return what peers are told of the keys held."""
         return tuple(
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/main.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/main.py
@@ -10,10 +10,13 @@
 import click
 import eliot
 import returns.result
-from bronzepaddle import options, sidecar_options
+from bronzepaddle import logwriter, options, sidecar_options
 
 BAD_SETTINGS_STATUS: typing.Final = 2
 
+LOG_END_S: typing.Final = 0.3
+"""Time in which the last lines are written; their reader may have stopped."""
+
 
 @click.command()
 @click.option(
@@ -52,8 +55,12 @@
     """Run a process whose leases rest on the platform's store."""
     match sidecar_options.load(config):
         case returns.result.Success(settings):
-            eliot.to_file(sys.stdout)
-            asyncio.run(_serve_until_told(config, settings))
+            log = logwriter.Writer(
+                logwriter.to_descriptor(sys.stdout.fileno()), settings.log
+            )
+            eliot.add_destinations(log.take)
+            asyncio.run(_serve_until_told(config, settings, log))
+            log.close(LOG_END_S)
             _end()
         case returns.result.Failure(errors):
             for error in errors:
@@ -62,7 +69,9 @@
 
 
 async def _serve_until_told(
-    config: pathlib.Path, settings: sidecar_options.SidecarOptions
+    config: pathlib.Path,
+    settings: sidecar_options.SidecarOptions,
+    log: logwriter.Writer,
 ) -> None:
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -72,7 +81,7 @@
     # pays memory only for its own.
     from bronzepaddle_node import reloading, sidecar
 
-    process = sidecar.Sidecar(settings)
+    process = sidecar.Sidecar(settings, log)
     reloader = reloading.Reloader(config, process.reconfigure)
     loop.add_signal_handler(signal.SIGHUP, reloader.tell)
     await process.start()
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/metrics.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/metrics.py
@@ -27,7 +27,27 @@
 )
 
 
-class Metrics:
+class Exposition:
+    """Where the instruments of one process are registered and shown."""
+
+    def __init__(self) -> None:
+        self.registry = prometheus_client.CollectorRegistry()
+        reader = opentelemetry.exporter.prometheus.PrometheusMetricReader(
+            registry=self.registry
+        )
+        self.provider = opentelemetry.sdk.metrics.MeterProvider([reader])
+        self.meter = self.provider.get_meter("bronzepaddle")
+
+    def page(self) -> bytes:
+        """Return the metrics as Prometheus reads them."""
+        return prometheus_client.generate_latest(self.registry)
+
+    def close(self) -> None:
+        """Let the instruments go."""
+        self.provider.shutdown()
+
+
+class Metrics(Exposition):
     """The instruments of one process.
 
     ``bronzepaddle.requests`` counts answers by service, priority, verdict
@@ -38,13 +58,9 @@
     """
 
     def __init__(self, knowledge: state.State) -> None:
+        super().__init__()
         self.state = knowledge
-        self.registry = prometheus_client.CollectorRegistry()
-        reader = opentelemetry.exporter.prometheus.PrometheusMetricReader(
-            registry=self.registry
-        )
-        self.provider = opentelemetry.sdk.metrics.MeterProvider([reader])
-        meter = self.provider.get_meter("bronzepaddle")
+        meter = self.meter
         self.requests = meter.create_counter("bronzepaddle.requests")
         self.latency = meter.create_histogram(
             "bronzepaddle.latency",
@@ -76,14 +92,6 @@
         """Count a request that named no service or no key."""
         self.lost_names.add(1, {"reason": why.value})
 
-    def page(self) -> bytes:
-        """Return the metrics as Prometheus reads them."""
-        return prometheus_client.generate_latest(self.registry)
-
-    def close(self) -> None:
-        """Let the instruments go."""
-        self.provider.shutdown()
-
     def _slots(
         self, _options: opentelemetry.metrics.CallbackOptions
     ) -> list[opentelemetry.metrics.Observation]:
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/roster.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/roster.py
@@ -34,6 +34,7 @@
         self.status = status
         self.heard_at = now
         self.avoid_until = 0.0
+        self.logged_alive = True
         self.sent = 0
         self.sent_at_report = 0
         self.outstanding = status.outstanding
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
@@ -28,7 +28,7 @@
 from bronzepaddle_callers import intake
 from bronzepaddle_peers import exchanges, streams
 
-from bronzepaddle_node import crashwatch, roster, serving
+from bronzepaddle_node import crashwatch, roster, serving, sidecar_metrics
 
 LATE_MARGIN_S: typing.Final = 0.02
 """Time kept from a request's deadline for the way of its answer."""
@@ -65,6 +65,7 @@
     tries: int = 0
     reached: int = 0
     tried: set[ids.MemberId] = dataclasses.field(default_factory=set)
+    sends: list[logs.Send] = dataclasses.field(default_factory=list)
 
 
 class Router:
@@ -78,6 +79,7 @@
         local: serving.Serving,
         peers: streams.Client,
         budgets: retries.Budgets,
+        meters: sidecar_metrics.SidecarMetrics,
         time: clocks.Clock,
         draw: random.Random,
     ) -> None:
@@ -87,6 +89,7 @@
         self.local = local
         self.peers = peers
         self.budgets = budgets
+        self.meters = meters
         self.time = time
         self.draw = draw
         self.table: routes.Table | None = None
@@ -129,6 +132,43 @@
             watch.end()
 
     async def _serve(self, arrival: intake.Arrival) -> answers.Answer:
+        began = self.time.now()
+        progress = self._begin(arrival, began)
+        match progress:
+            case answers.Answer():
+                logs.unroutable(
+                    arrival.request_id, arrival.host, arrival.path, progress
+                )
+                return progress
+            case _Progress():
+                answer = await self._until_done(progress)
+                self._report(progress, answer, self.time.now() - began)
+                return answer
+            case _:
+                typing.assert_never(progress)
+
+    def _report(
+        self, progress: _Progress, answer: answers.Answer, took_s: float
+    ) -> None:
+        """Log and count what came of a request."""
+        route = progress.route
+        logs.answered(
+            progress.arrival.request_id,
+            route.name,
+            progress.service,
+            progress.arrival.key if progress.keyed else None,
+            answer,
+            progress.sends,
+            took_s,
+        )
+        self.meters.answered(
+            progress.service, route.rank, answer, len(progress.sends), took_s
+        )
+
+    def _begin(
+        self, arrival: intake.Arrival, began: float
+    ) -> _Progress | answers.Answer:
+        """Return the request with its route, or why it has none."""
         table = self.table
         if table is None:
             return self._refuse(
@@ -144,9 +184,9 @@
         keyed = rules is not None and rules.keyed
         if keyed and not 0 <= arrival.key < routes.KEY_COUNT:
             return self._refuse(verdicts.Reason.NO_KEY)
-        began = self.time.now()
         left_s = min(arrival.time_left_s or DEFAULT_TIME_S, route.timeout_s)
-        progress = _Progress(
+        self.budgets.earn(service)
+        return _Progress(
             arrival=arrival,
             route=route,
             service=service,
@@ -155,14 +195,6 @@
             keyed=keyed,
             late=self._late(arrival, route),
         )
-        self.budgets.earn(service)
-        answer = await self._until_done(progress)
-        if answer.reason is not verdicts.Reason.SERVED:
-            took_s = self.time.now() - began
-            logs.not_served(
-                arrival.request_id, route.name, answer, progress.tries, took_s
-            )
-        return answer
 
     def _late(self, arrival: intake.Arrival, route: routes.Route) -> bool:
         """Tell whether a request has come back after its target time.
@@ -259,7 +291,19 @@
             return self._refuse(why, retry_after_s=RETRY_AFTER_S)
         member = peer.status.sender
         progress.tried.add(member)
+        heard_ago_s, load = now - peer.heard_at, peer.load()
         answer = await self._send(peer, self._ask(progress, peer, left_s))
+        progress.sends.append(
+            logs.Send(
+                member,
+                peer.status.run,
+                load,
+                round(heard_ago_s, 3),
+                answer.verdict.value,
+                answer.reason.value,
+                round(self.time.now() - now, 4),
+            )
+        )
         if (
             answer.verdict is not verdicts.Verdict.NOT_RUN
             or answer.reason is verdicts.Reason.SHED
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/serving.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/serving.py
@@ -15,6 +15,7 @@
     clocks,
     heat,
     ids,
+    logs,
     suspects,
     verdicts,
     waiting,
@@ -109,6 +110,14 @@
         if seen is None or seen.drained_at is None:
             self.crashes.run_ended()
 
+    def queue(self) -> logs.Queue:
+        """Return the server's line as it is now."""
+        server = self.server
+        if server is None:
+            return logs.Queue(0, 0, 0)
+        line = server.line
+        return logs.Queue(line.running, len(line.waiting), line.slots)
+
     def outstanding(self) -> int:
         """Return how many requests wait or run."""
         return 0 if self.server is None else self.in_flight
@@ -120,6 +129,10 @@
     async def handle(self, ask: exchanges.Ask) -> streams.Reply:
         """Return the reply to one request of a peer, or of this process."""
         answer = await self._answer(ask)
+        if answer.verdict is verdicts.Verdict.NOT_RUN:
+            logs.turned_away(
+                ask.request_id, ask.route, ask.rank, answer, self.queue()
+            )
         return streams.Reply(
             answer, self.outstanding(), self.service_s(), True
         )
@@ -224,7 +237,11 @@
         server.sent.discard(place)
         server.line.leave(place, now, ran)
         server.fill(now)
-        if answer is None or server is not self.server:
+        if answer is None:
+            return
+        if answer.verdict is verdicts.Verdict.MAY_HAVE_RUN:
+            logs.lost_at_server(ask.request_id, server.said.run, answer)
+        if server is not self.server:
             return
         self.crashes.answered(
             suspects.fingerprint(
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -20,6 +20,7 @@
     clocks,
     ids,
     logs,
+    logwriter,
     options,
     retries,
     routes,
@@ -41,11 +42,13 @@
     roster,
     router,
     serving,
+    sidecar_metrics,
     tasks,
 )
 
 CONTROL_THREADS: typing.Final = 3
 READY_THREADS: typing.Final = 2
+METRICS_THREADS: typing.Final = 1
 
 CALL_IN_LOOP_S: typing.Final = 0.9
 """Bound on a server's wait for the event loop; it allows a second."""
@@ -75,8 +78,13 @@
 class Sidecar:
     """One process of the system; lives on one event loop."""
 
-    def __init__(self, settings: sidecar_options.SidecarOptions) -> None:
+    def __init__(
+        self,
+        settings: sidecar_options.SidecarOptions,
+        log: logwriter.Writer | None = None,
+    ) -> None:
         self.settings = settings
+        self.log = log
         self.time: clocks.Clock = clocks.BootClock()
         self.started_ms = time.time_ns() // 1_000_000
         self.incarnation = ids.Incarnation(ids.new_id())
@@ -111,6 +119,7 @@
         self.budgets = retries.Budgets(
             settings.retry_share * RETRY_SHARE_USED, LEAST_RETRIES
         )
+        self.meters = sidecar_metrics.SidecarMetrics(self._readings)
         self.router = router.Router(
             settings.name,
             settings.service,
@@ -118,6 +127,7 @@
             self.serving,
             self.peers,
             self.budgets,
+            self.meters,
             self.time,
             random.Random(),
         )
@@ -220,7 +230,13 @@
         self.readiness = self._http(
             registry.Readiness(self._ready), settings.ready, READY_THREADS
         )
-        for one in (self.control, self.readiness, self.callers):
+        self.ports = [self.control, self.readiness, self.callers]
+        if settings.metrics is not None:
+            page = sidecar_metrics.Page(self.meters)
+            self.ports.append(
+                self._http(page, settings.metrics, METRICS_THREADS)
+            )
+        for one in self.ports:
             one.start()
 
     def _http(
@@ -346,6 +362,33 @@
             suspects=self.crashes.told(),
         )
 
+    def _readings(self) -> sidecar_metrics.Readings:
+        """Return what the metrics show of this moment."""
+        now = self.time.now()
+        queue = self.serving.queue()
+        ages = [
+            now - peer.heard_at
+            for peer in list(self.roster.peers.values())
+            if peer.status.sender != self.settings.name
+            and self.roster.alive(peer, now)
+        ]
+        dropped = {} if self.log is None else dict(self.log.dropped_in_all)
+        return sidecar_metrics.Readings(
+            waiting=queue.waiting,
+            running=queue.running,
+            retries_left=dict(self.budgets.saved),
+            lease_left_s=self.keeper.lease.left_s(now),
+            keys_held=self.held.size(now),
+            unheld_s=self.keeper.unheld_s,
+            ranges_moved=self.keeper.planner.ranges_moved,
+            config_version=self.configuration.version,
+            ownership_version=self.keeper.version,
+            peers_alive=len(ages),
+            oldest_status_s=max(ages, default=0.0),
+            store_calls=dict(self.store.calls.counts),
+            lines_dropped=dropped,
+        )
+
     def reconfigure(self, settings: sidecar_options.SidecarOptions) -> None:
         """Take changed settings; addresses stay until the next start."""
         self.settings = dataclasses.replace(
@@ -378,7 +421,7 @@
         await self.running.stop()
         await self.keeper.stop()
         await self.configuration.stop()
-        for one in (self.callers, self.control, self.readiness):
+        for one in self.ports:
             await self.loop.run_in_executor(None, one.stop, CLOSE_S)
         if self.grpc is not None:
             self.grpc.close()
@@ -386,6 +429,7 @@
         self.udp.close()
         self.store.close()
         self.sender.close()
+        self.meters.close()
         self.workers.shutdown(wait=False, cancel_futures=True)
 
     def _busy(self) -> bool:
--- a/packages/bronzepaddle-store/src/bronzepaddle_store/calls.py
+++ b/packages/bronzepaddle-store/src/bronzepaddle_store/calls.py
@@ -12,6 +12,7 @@
 import typing
 
 import urllib3
+from bronzepaddle import logs
 
 from bronzepaddle_store import store
 
@@ -19,6 +20,9 @@
 _CALL_THREADS: typing.Final = 6
 _CONNECTIONS: typing.Final = 4
 
+UNABLE: typing.Final = (429, 500, 502, 503, 504)
+"""Statuses by which the store says that it can't do a call now."""
+
 _READING: typing.Final = frozenset({"GET"})
 
 
@@ -56,6 +60,11 @@
     def __init__(self, timeout_s: float, budget: CallBudget) -> None:
         self.timeout_s = timeout_s
         self.budget = budget
+        self.dependency = logs.Dependency("store")
+        # By method and outcome: a status, "lost" or "down".
+        self.counts: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
         self.pool = urllib3.PoolManager(maxsize=_CONNECTIONS, retries=False)
         self.threads = concurrent.futures.ThreadPoolExecutor(
             _CALL_THREADS, thread_name_prefix="platform"
@@ -75,12 +84,22 @@
         """
         self.budget.spend()
         loop = asyncio.get_running_loop()
-        return await loop.run_in_executor(
-            self.threads,
-            lambda: self._blocking(
-                method, url, body, headers, timeout_s or self.timeout_s
-            ),
-        )
+        try:
+            response = await loop.run_in_executor(
+                self.threads,
+                lambda: self._blocking(
+                    method, url, body, headers, timeout_s or self.timeout_s
+                ),
+            )
+        except store.StoreError as error:
+            lost = isinstance(error, store.LostAnswerError)
+            self.counts[method, "lost" if lost else "down"] += 1
+            self.dependency.now(False, f"{method}: {error}")
+            raise
+        self.counts[method, str(response.status)] += 1
+        able = response.status not in UNABLE
+        self.dependency.now(able, f"{method}: HTTP {response.status}")
+        return response
 
     def close(self) -> None:
         """Let the connections go."""
--- a/packages/bronzepaddle/src/bronzepaddle/logs.py
+++ b/packages/bronzepaddle/src/bronzepaddle/logs.py
@@ -4,6 +4,9 @@
 a kind has the same fields and ``bronzepaddle explain`` can read them.
 """
 
+import collections.abc
+import dataclasses
+
 import eliot
 
 from bronzepaddle import answers, cells, ids, keyranges, verdicts
@@ -128,6 +131,11 @@
     )
 
 
+def call_failed(what: str, detail: str) -> None:
+    """Log a call to the store or a peer that is made again later."""
+    eliot.log_message(message_type="call-failed", what=what, detail=detail)
+
+
 def bad_document(name: str, detail: str) -> None:
     """Log a document that can't be used; what was in force stays so."""
     eliot.log_message(message_type="bad-document", name=name, detail=detail)
@@ -171,28 +179,154 @@
     )
 
 
-def not_served(
+def unroutable(
+    request_id: ids.RequestId, host: str, path: str, answer: answers.Answer
+) -> None:
+    """Log a request that was refused before a service was found for it."""
+    eliot.log_message(
+        message_type="unroutable",
+        request_id=request_id,
+        host=host,
+        path=path,
+        status=answer.status,
+        reason=answer.reason.value,
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class Send:
+    """One send of a request, and what it was decided by.
+
+    ``load`` counts the requests that ran or waited at the server as far as
+    known, ``heard_ago_s`` is the age of its status.
+    """
+
+    member: ids.MemberId
+    run: str
+    load: int
+    heard_ago_s: float
+    verdict: str
+    reason: str
+    took_s: float
+
+
+def answered(
     request_id: ids.RequestId,
     route: str,
+    service: ids.ServiceName,
+    key: int | None,
     answer: answers.Answer,
-    tries: int,
+    sends: collections.abc.Sequence[Send],
     took_s: float,
 ) -> None:
-    """Log a request that was refused or failed, and why."""
+    """Log what became of a request, with each of its sends."""
+    served = answer.reason is verdicts.Reason.SERVED
     eliot.log_message(
-        message_type="not-served",
+        message_type="served" if served else "not-served",
         request_id=request_id,
         route=route,
-        server=answer.server,
+        service=service,
+        key=key,
         status=answer.status,
         verdict=answer.verdict.value,
         reason=answer.reason.value,
+        retry_after_s=answer.retry_after_s,
         detail=answer.detail,
-        tries=tries,
+        sends=[dataclasses.asdict(one) for one in sends],
         took_s=round(took_s, 4),
     )
 
 
+@dataclasses.dataclass(frozen=True)
+class Queue:
+    """The line of a server at one moment: requests running and waiting."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+def turned_away(
+    request_id: ids.RequestId,
+    route: str,
+    rank: int,
+    answer: answers.Answer,
+    queue: Queue,
+) -> None:
+    """Log a request that the process beside its server did not send on."""
+    eliot.log_message(
+        message_type="turned-away",
+        request_id=request_id,
+        route=route,
+        rank=rank,
+        reason=answer.reason.value,
+        detail=answer.detail,
+        retry_after_s=answer.retry_after_s,
+        queue=dataclasses.asdict(queue),
+    )
+
+
+def lost_at_server(
+    request_id: ids.RequestId, run: str, answer: answers.Answer
+) -> None:
+    """Log a request that was sent to the server and has no whole answer."""
+    eliot.log_message(
+        message_type="lost-at-server",
+        request_id=request_id,
+        run=run,
+        verdict=answer.verdict.value,
+        reason=answer.reason.value,
+        detail=answer.detail,
+    )
+
+
+def lease(held: bool, left_s: float, version: ids.ObjectVersion) -> None:
+    """Log that this process's lease has begun or has run out."""
+    eliot.log_message(
+        message_type="lease",
+        held=held,
+        left_s=round(left_s, 3),
+        ownership_version=version,
+    )
+
+
+def keys_granted(
+    first: int, last: int, token: ids.Token, hold_s: float
+) -> None:
+    """Log keys that the server holds from now on."""
+    eliot.log_message(
+        message_type="keys-granted",
+        first=first,
+        last=last,
+        token=token,
+        hold_s=round(hold_s, 3),
+    )
+
+
+def peer(member: ids.MemberId, alive: bool, heard_ago_s: float) -> None:
+    """Log that a peer is passed over from now on, or used again."""
+    eliot.log_message(
+        message_type="peer",
+        member=member,
+        alive=alive,
+        heard_ago_s=round(heard_ago_s, 3),
+    )
+
+
+class Dependency:
+    """Logs when something that a process depends on is lost or regained."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.reached = True
+
+    def now(self, reached: bool, detail: str) -> None:
+        """Take in whether it was reached just now."""
+        if reached != self.reached:
+            self.reached = reached
+            dependency(self.name, reached, detail)
+
+
 def server(what: str, run: str, detail: str) -> None:
     """Log a change of what is known of the backend server."""
     eliot.log_message(message_type="server", what=what, run=run, detail=detail)
--- a/packages/bronzepaddle/src/bronzepaddle/sidecar_options.py
+++ b/packages/bronzepaddle/src/bronzepaddle/sidecar_options.py
@@ -12,7 +12,7 @@
 
 import returns.result
 
-from bronzepaddle import ids, ini, options, storeleases
+from bronzepaddle import ids, ini, logwriter, options, storeleases
 
 FORM: typing.Final = "objects"
 """Value of ``[platform] form`` that these settings are for."""
@@ -28,6 +28,7 @@
     "keys": ("lease-s", "read-s", "most-hold-ms"),
     "retries": ("share", "slack"),
     "metrics": ("listen",),
+    "log": ("lines-per-s", "burst"),
 }
 
 TRUE: typing.Final = "true"
@@ -63,6 +64,8 @@
     most_hold_s: float
     retry_share: float
     retry_slack: float
+    metrics: options.Endpoint | None = None
+    log: logwriter.Bounds = dataclasses.field(default_factory=logwriter.Bounds)
 
 
 SidecarResult: typing.TypeAlias = returns.result.Result[
@@ -146,6 +149,15 @@
             / 1000,
             retry_share=self.number("retries", "share", 0.1, 0.0, 10.0),
             retry_slack=self.number("retries", "slack", 20.0, 0.0, 1e6),
+            metrics=(
+                self.endpoint("metrics")
+                if self.parser.has_section("metrics")
+                else None
+            ),
+            log=logwriter.Bounds(
+                lines_per_s=self.number("log", "lines-per-s", 100.0, 1, 1e6),
+                burst=self.number("log", "burst", 300.0, 1, 1e6),
+            ),
         )
 
     def _unknown(self) -> collections.abc.Iterator[tuple[str, str]]:
