Measure a server's mean time by request, not by kind of work

Cause: the plan of busy keys and the choice of servers rest on the mean time of a request at a server. It was the mean over the kinds of work seen, each kind alike; requests on routes that come seldom and are answered in 5 ms made a server at 0.25 s a request look like one at 0.06 s. Ruled out: the plan itself (its inputs were printed: demand 0.28 at most), the counting of busy keys (the groups were right). Change: a running mean over all requests.

--- a/packages/bronzepaddle/src/bronzepaddle/waiting.py
+++ b/packages/bronzepaddle/src/bronzepaddle/waiting.py
@@ -30,6 +30,9 @@
 MEAN_WEIGHT: typing.Final = 0.1
 """Weight of the newest service time in the running mean."""
 
+ALL_WEIGHT: typing.Final = 0.03
+"""The same for the mean over all kinds of work."""
+
 FIRST_GUESS_S: typing.Final = 0.05
 """Service time of a kind of work before one was measured."""
 
@@ -124,6 +127,7 @@
         self.waiting: list[Place] = []
         self.running = 0
         self.means: dict[str, float] = {}
+        self.mean_of_all = 0.0
         # Slot seconds taken in lately, by level; fades with time.
         self.taken: dict[Level, float] = {}
         self.refused_at: dict[Level, float] = {}
@@ -217,12 +221,15 @@
         return self.means.get(kind, FIRST_GUESS_S)
 
     def mean_of_all_s(self) -> float:
-        """Return a mean over the kinds of work seen, 0 if none."""
-        if not self.means:
-            return 0.0
-        return sum(self.means.values()) / len(self.means)
+        """Return how long a request takes, whatever its kind; 0 if unknown.
+
+        Each request counts, not each kind: some kinds come seldom.
+        """
+        return self.mean_of_all
 
     def _measure(self, kind: str, took_s: float) -> None:
+        of_all = self.mean_of_all or took_s
+        self.mean_of_all = of_all + ALL_WEIGHT * (took_s - of_all)
         known = self.means.get(kind)
         if known is None:
             self.means[kind] = took_s
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -169,3 +169,19 @@
     read = counted["read"]
     assert read.in_time > 0.8 * read.asked
     assert counted["back"].refused > 0.5 * counted["back"].asked
+
+
+def test_rare_quick_kinds_do_not_make_a_server_look_fast() -> None:
+    line = waiting.Line(SLOTS, 0.0)
+
+    def serve(kind: str, took_s: float, now: float) -> None:
+        placed = line.ask(dataclasses.replace(READ, kind=kind), now)
+        assert isinstance(placed, waiting.Place)
+        assert line.startable(now) == [placed]
+        line.leave(placed, now + took_s, True)
+
+    for number in range(200):
+        serve("read", 0.25, float(number))
+    for number in range(8):
+        serve(f"seldom {number}", 0.005, 300.0 + number)
+    assert line.mean_of_all_s() > 0.15
