Move busy keys earlier and more of them at a time

Cause: with the mean time mended, the first plan of busy keys still came at 3.3 s, when the busy server had turned callers away for two seconds, and moved 12 groups of keys. Change: a server is relieved from 0.45 of its time on (0.7 before) where the gap to the calmest is above 0.15 (0.2), 24 groups at a time (12), each 0.9 s (1.2).

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/planning.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/planning.py
@@ -20,7 +20,7 @@
 LOST_S: typing.Final = 2.0
 """Silence of a member after which its keys go to others."""
 
-EVEN_OUT_EVERY_S: typing.Final = 1.2
+EVEN_OUT_EVERY_S: typing.Final = 0.9
 """Time between two plans that move busy keys: the counts of the servers
 must have followed the last one."""
 
--- a/packages/bronzepaddle/src/bronzepaddle/keyplan.py
+++ b/packages/bronzepaddle/src/bronzepaddle/keyplan.py
@@ -22,16 +22,16 @@
 """Part of an even share that a server is given when it joins."""
 
 
-BUSY: typing.Final = 0.7
+BUSY: typing.Final = 0.45
 """Share of a server's time asked for, above which it is relieved."""
 
-UNEVEN: typing.Final = 0.2
+UNEVEN: typing.Final = 0.15
 """Difference between two servers' shares that is not worth a move."""
 
 MOST_RANGES: typing.Final = 256
 """Ranges beyond which busy keys stay: each costs a grant an interval."""
 
-MOST_HOT_MOVES: typing.Final = 12
+MOST_HOT_MOVES: typing.Final = 24
 """Groups of busy keys that one plan moves at most."""
 
 
