Send busy keys to the server on which they leave the most room

Cause: the heir was the server with the least demand, and a group that was larger than the gap stayed; what a group takes of a server's time depends on that server's speed (0.6 to 1.4 here). Change: each group goes where demand after the move is least, by the heir's own time a request; it stays if that is not below the busy server's demand by 0.15.

--- a/packages/bronzepaddle/src/bronzepaddle/keyplan.py
+++ b/packages/bronzepaddle/src/bronzepaddle/keyplan.py
@@ -138,30 +138,44 @@
 def _from_busy(
     now: keyranges.Ownership, standings: collections.abc.Sequence[Standing]
 ) -> collections.abc.Iterator[keyranges.Move]:
-    """Yield moves of busy keys from the busiest server to the calmest.
+    """Yield moves of busy keys from the busiest server to others.
 
-    A group of keys stays where its move would only turn the two around.
+    Each group of keys goes where it leaves the most room: servers differ in
+    speed.  It stays where its move would only turn two servers around.
     """
     able = [one for one in standings if one.usable]
     if len(able) < 2 or len(now.ranges) > MOST_RANGES:
         return
     demand = {one.holder: one.demand for one in able}
     busiest = max(able, key=lambda one: one.demand)
-    if busiest.demand < BUSY:
-        return
+    others = [one for one in able if one is not busiest]
     moves = 0
     for hot in busiest.hot:
-        calmest = min(demand, key=lambda holder: demand[holder])
-        gap = demand[busiest.holder] - demand[calmest]
-        if gap < UNEVEN or moves == MOST_HOT_MOVES:
+        here = demand[busiest.holder]
+        if here < BUSY or moves == MOST_HOT_MOVES:
             return
-        moved = hot.rate * busiest.each
-        if moved > gap or not _owns(now, busiest.holder, hot):
+        heir, there = _roomiest(others, demand, hot.rate, busiest.each)
+        if here - there < UNEVEN or not _owns(now, busiest.holder, hot):
             continue
-        demand[busiest.holder] -= moved
-        demand[calmest] += moved
+        demand[busiest.holder] -= hot.rate * busiest.each
+        demand[heir] = there
         moves += 1
-        yield keyranges.Move(hot.first, hot.last, calmest)
+        yield keyranges.Move(hot.first, hot.last, heir)
+
+
+def _roomiest(
+    others: collections.abc.Iterable[Standing],
+    demand: collections.abc.Mapping[keyranges.Holder, float],
+    rate: float,
+    unmeasured_each: float,
+) -> tuple[keyranges.Holder, float]:
+    """Return who would be asked for least with more requests, and how much."""
+    asked = {
+        one.holder: demand[one.holder] + rate * (one.each or unmeasured_each)
+        for one in others
+    }
+    heir = min(asked, key=lambda holder: (asked[holder], holder.member))
+    return heir, asked[heir]
 
 
 def _owns(
--- a/tests/test_heat.py
+++ b/tests/test_heat.py
@@ -76,3 +76,20 @@
         standing(test_keyranges.B, 0.3),
     ]
     assert keyplan.plan(HALVES, test_keyranges.SERVICE, standings) is None
+
+
+@pytest.mark.parametrize(("fast_each", "heir"), [(0.005, "b"), (0.02, None)])
+def test_one_busy_group_goes_to_a_server_that_is_fast_enough(
+    fast_each: float, heir: str | None
+) -> None:
+    assert HALVES is not None
+    standings = [
+        standing(test_keyranges.A, 1.0, heat.Hot(160, 175, 90.0)),
+        keyplan.Standing(test_keyranges.B, True, False, 0.3, fast_each),
+    ]
+    found = keyplan.plan(HALVES, test_keyranges.SERVICE, standings)
+    if heir is None:
+        assert found is None
+        return
+    assert found is not None
+    assert test_keyranges.sizes(found)[heir] == 32_768 + 16
