Release keys by what a server may have been granted; even out with whole ranges

(2) For three seconds after a server had ended its keys had no owner: its process released only what it still used itself, not keys whose ranges had been cut anew or whose grant it could not renew; their heirs waited for a whole lease. Change: (1) groups of keys below 1 % of a server's time are not cut out any more, whole ranges move instead; 512 ranges at most, grants renewed at 0.45 of the longest hold. (2) the keeper remembers what the present run of the server may have been granted, releases just that, and frees all of it when another run has come; never while a grant without an answer is open, also where nothing listens at the server's address.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/keeping.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/keeping.py
@@ -36,10 +36,14 @@
 LEAST_HOLD_S: typing.Final = 0.1
 """A grant for less time than this is not worth its order."""
 
-RENEW_BELOW: typing.Final = 0.6
+RENEW_BELOW: typing.Final = 0.45
 """Share of the longest hold below which a grant is renewed."""
 
 
+Place: typing.TypeAlias = tuple[int, int, ids.Token]
+"""First and last key of a grant, and its token."""
+
+
 @dataclasses.dataclass(frozen=True)
 class Settings:
     """What the keeping of keys is told; times in seconds.
@@ -128,7 +132,10 @@
         # answer yet and are carried out late.
         self.doubt_until = self.started + settings.times.wait_s
         self.freed: list[Freed] = []
-        self.releasing: set[tuple[int, int, ids.Token]] = set()
+        self.releasing: set[Place] = set()
+        # What the present run of the server was granted or may have been.
+        self.tried: list[Place] = []
+        self.tried_run = statuses.NO_SERVER
         self.poked = asyncio.Event()
         self.running = tasks.Tasks()
         self.planner = planning.Planner(
@@ -306,6 +313,7 @@
         run = self.held.run
         if not run:
             return
+        self._note_run(run)
         mine = ownership.owned_by(self.settings.name)
         if any(one.holder.run != run for one in mine):
             if self.tracker.ready(now):
@@ -327,39 +335,57 @@
         """Stop using what is not ours any more, and release it."""
         before = self.held.ranges
         kept = [
-            keys.Held(one.first, one.last, one.token, old.until)
+            keys.Held(*common, one.token, old.until)
             for one in mine
             for old in before
-            if old.covers(one.first, one.last, one.token)
+            if old.token == one.token and (common := _common(one, old))
         ]
-        if kept == before:
-            return
-        self.held.set(kept)
-        for old in before:
+        if kept != before:
+            self.held.set(kept)
+            self.changed()
+        still: list[Place] = []
+        for old_first, old_last, token in self.tried:
             for new in ownership.ranges:
-                if old.first <= new.last and new.first <= old.last:
-                    self._release_replaced(old, new)
-        self.changed()
-
-    def _release_replaced(self, old: keys.Held, new: keyranges.Range) -> None:
-        """Release the part of an old grant that a new one has replaced."""
-        if new.token == old.token:
-            return
-        first, last = max(old.first, new.first), min(old.last, new.last)
-        place = (first, last, old.token)
+                first = max(old_first, new.first)
+                last = min(old_last, new.last)
+                if first > last:
+                    continue
+                place = (first, last, token)
+                if new.token == token:
+                    still.append(place)
+                else:
+                    self._release_replaced(place)
+        self.tried = still
+
+    def _release_replaced(self, place: Place) -> None:
+        """Release keys of an earlier grant that a new one has replaced."""
         if place in self.releasing:
             return
         self.releasing.add(place)
         self.running.start(self._release(place), "release")
 
-    def _free(self, place: tuple[int, int, ids.Token], handover: str) -> None:
-        """Have the next write say that an earlier grant is over."""
+    def _note_run(self, run: str) -> None:
+        """Free what an earlier run of the server was granted: it ended."""
+        if run == self.tried_run:
+            return
+        for place in self.tried:
+            self._free(place, "")
+        self.tried = []
+        self.tried_run = run
+
+    def _free(self, place: Place, handover: str) -> None:
+        """Have the next write say that an earlier grant is over.
+
+        Unless a grant without an answer may be carried out yet.
+        """
+        if self.time.now() < self.doubt_until:
+            return
         first, last, token = place
         until = self.time.now() + self.settings.times.wait_s
         self.freed.append(Freed(first, last, token, handover, until))
         self.poked.set()
 
-    async def _release(self, place: tuple[int, int, ids.Token]) -> None:
+    async def _release(self, place: Place) -> None:
         """Take keys back from the server and let the next owner know."""
         first, last, token = place
         try:
@@ -368,9 +394,8 @@
                 return
             outcome = await orders.release(first, last, token)
             logs.keys_released(first, last, token, outcome.detail)
-            if not outcome.done or self.time.now() < self.doubt_until:
-                return
-            self._free(place, outcome.handover)
+            if outcome.done:
+                self._free(place, outcome.handover)
         except connections.OrderNotSentError as error:
             logs.order_failed("release", first, last, repr(error))
             if error.ended:
@@ -414,6 +439,7 @@
             one.first, one.last, one.token, hold_s, one.handover
         )
         sent_at = self.time.now()
+        self._note_tried(one)
         try:
             outcome = await orders.grant(given)
         except connections.OrderNotSentError as error:
@@ -433,6 +459,18 @@
         if run == self.held.run and self._still_ours(one):
             self._note_held(one, sent_at + hold_s)
 
+    def _note_tried(self, one: keyranges.Range) -> None:
+        place = (one.first, one.last, one.token)
+        if place not in self.tried:
+            others = [
+                old
+                for old in self.tried
+                if old[2] != one.token
+                or old[1] < one.first
+                or one.last < old[0]
+            ]
+            self.tried = [*others, place]
+
     def _still_ours(self, one: keyranges.Range) -> bool:
         """Tell whether the object still gives a range to us."""
         if self.read is None or self.read.ownership is None:
@@ -495,3 +533,9 @@
     async def stop(self) -> None:
         """End what is running."""
         await self.running.stop()
+
+
+def _common(one: keyranges.Range, old: keys.Held) -> tuple[int, int] | None:
+    """Return the first and last key that two ranges share, if any."""
+    first, last = max(one.first, old.first), min(one.last, old.last)
+    return (first, last) if first <= last else None
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/serving.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/serving.py
@@ -249,7 +249,8 @@
             ),
             answer.reason,
         )
-        if answer.reason is verdicts.Reason.SERVER_ENDED:
+        ended = answer.reason is verdicts.Reason.SERVER_ENDED
+        if ended and not self.tracker.unreachable:
             self._run_ended()
             self.tracker.unreachable = True
             self.lost()
--- a/packages/bronzepaddle/src/bronzepaddle/keyplan.py
+++ b/packages/bronzepaddle/src/bronzepaddle/keyplan.py
@@ -28,12 +28,22 @@
 UNEVEN: typing.Final = 0.15
 """Difference between two servers' shares that is not worth a move."""
 
-MOST_RANGES: typing.Final = 256
+LEAST_HOT: typing.Final = 0.01
+"""Share of a server's time below which a group of keys is not worth ranges
+of its own; whole ranges are moved then."""
+
+MOST_RANGES: typing.Final = 512
 """Ranges beyond which busy keys stay: each costs a grant an interval."""
 
 MOST_HOT_MOVES: typing.Final = 24
 """Groups of busy keys that one plan moves at most."""
 
+LEAST_RANGE: typing.Final = 256
+"""Keys of a range that is worth being moved for the sake of balance."""
+
+MOST_RANGE_MOVES: typing.Final = 3
+"""Whole ranges that one plan moves at most for the sake of balance."""
+
 
 @dataclasses.dataclass(frozen=True)
 class Standing:
@@ -138,29 +148,60 @@
 def _from_busy(
     now: keyranges.Ownership, standings: collections.abc.Sequence[Standing]
 ) -> collections.abc.Iterator[keyranges.Move]:
-    """Yield moves of busy keys from the busiest server to others.
+    """Yield moves of keys from the busiest server to others.
 
-    Each group of keys goes where it leaves the most room: servers differ in
-    speed.  It stays where its move would only turn two servers around.
+    Busy groups of keys go first, each where it leaves the most room, as
+    servers differ in speed; then whole ranges, which costs no more ranges.
+    What would only turn two servers around stays.
     """
     able = [one for one in standings if one.usable]
-    if len(able) < 2 or len(now.ranges) > MOST_RANGES:
+    if len(able) < 2:
         return
     demand = {one.holder: one.demand for one in able}
     busiest = max(able, key=lambda one: one.demand)
     others = [one for one in able if one is not busiest]
-    moves = 0
-    for hot in busiest.hot:
+    most = {_GROUP: MOST_HOT_MOVES, _RANGE: MOST_RANGE_MOVES}
+    for kind, part in _parts(now, busiest):
         here = demand[busiest.holder]
-        if here < BUSY or moves == MOST_HOT_MOVES:
+        if here < BUSY:
             return
-        heir, there = _roomiest(others, demand, hot.rate, busiest.each)
-        if here - there < UNEVEN or not _owns(now, busiest.holder, hot):
+        heir, there = _roomiest(others, demand, part.rate, busiest.each)
+        if here - there < UNEVEN or not most[kind]:
             continue
-        demand[busiest.holder] -= hot.rate * busiest.each
+        most[kind] -= 1
+        demand[busiest.holder] -= part.rate * busiest.each
         demand[heir] = there
-        moves += 1
-        yield keyranges.Move(hot.first, hot.last, heir)
+        yield keyranges.Move(part.first, part.last, heir)
+
+
+_GROUP: typing.Final = "group"
+_RANGE: typing.Final = "range"
+
+
+def _parts(
+    now: keyranges.Ownership, busiest: Standing
+) -> collections.abc.Iterator[tuple[str, heat.Hot]]:
+    """Yield what could be moved from a server, and how busy it is.
+
+    First its busy groups of keys; then its whole ranges, as far as no group
+    in them is busy, for which an even share of the rest is taken.
+    """
+    if not busiest.hot or not busiest.each:
+        return
+    busy = [one for one in busiest.hot if one.rate * busiest.each >= LEAST_HOT]
+    if len(now.ranges) <= MOST_RANGES:
+        for group in busy:
+            if _owns(now, busiest.holder, group):
+                yield _GROUP, group
+    mine = [one for one in now.ranges if one.holder == busiest.holder]
+    rest = busiest.demand / busiest.each - sum(one.rate for one in busy)
+    a_key = max(0.0, rest) / max(1, sum(one.size for one in mine))
+    for one in mine:
+        calm = all(
+            hot.last < one.first or one.last < hot.first for hot in busy
+        )
+        if calm and one.size >= LEAST_RANGE:
+            yield _RANGE, heat.Hot(one.first, one.last, a_key * one.size)
 
 
 def _roomiest(
--- a/packages/bronzepaddle/src/bronzepaddle/logwriter.py
+++ b/packages/bronzepaddle/src/bronzepaddle/logwriter.py
@@ -22,6 +22,9 @@
 FLUSH_S: typing.Final = 0.05
 """Pause after a write: lines of that time are written together."""
 
+WRITE_BYTES: typing.Final = 4096
+"""Most that one write hands to a pipe: so much it takes whole."""
+
 Line: typing.TypeAlias = dict[str, typing.Any]
 
 
@@ -141,7 +144,7 @@
     def write(data: bytes) -> None:
         rest = memoryview(data)
         while rest:
-            rest = rest[os.write(descriptor, rest) :]
+            rest = rest[os.write(descriptor, rest[:WRITE_BYTES]) :]
 
     return write
 
--- a/tests/test_heat.py
+++ b/tests/test_heat.py
@@ -93,3 +93,33 @@
         return
     assert found is not None
     assert test_keyranges.sizes(found)[heir] == 32_768 + 16
+
+
+def test_whole_ranges_go_where_no_group_of_keys_is_busy() -> None:
+    """Keys dealt evenly to servers of different speed."""
+    dealt = keyranges.dealt(
+        test_keyranges.SERVICE, [test_keyranges.A, test_keyranges.B], 64
+    )
+    calm = heat.Hot(160, 175, 0.5)
+    standings = [
+        standing(test_keyranges.A, 0.9, calm),
+        standing(test_keyranges.B, 0.3),
+    ]
+    found = keyplan.plan(dealt, test_keyranges.SERVICE, standings)
+    assert found is not None
+    test_keyranges.check_whole(found)
+    gained = test_keyranges.sizes(found)["b"] - 32_768
+    assert gained == keyplan.MOST_RANGE_MOVES * 1024
+    assert len(found.ranges) <= len(dealt.ranges)
+
+
+def test_busy_keys_are_left_alone_beyond_the_bound_of_ranges() -> None:
+    pieces = keyplan.MOST_RANGES * 2
+    dealt = keyranges.dealt(
+        test_keyranges.SERVICE, [test_keyranges.A, test_keyranges.B], pieces
+    )
+    standings = [
+        standing(test_keyranges.A, 0.9, heat.Hot(160, 167, 30.0)),
+        standing(test_keyranges.B, 0.3),
+    ]
+    assert keyplan.plan(dealt, test_keyranges.SERVICE, standings) is None
--- a/tests/test_store_leases.py
+++ b/tests/test_store_leases.py
@@ -11,6 +11,9 @@
 SERVED_AGAIN_S: typing.Final = 8.0
 """Silence, plan and wait for a lost VM, and the time to read and grant."""
 
+LOSS_TARGET_S: typing.Final = 5.0
+"""Time within which a key is to be served again after a loss."""
+
 
 async def all_restart_while_the_store_is_closed(
     around: keepers.Keepers,
@@ -51,6 +54,33 @@
     assert "a" not in keepers.ownership(around).members()
 
 
+async def server_ends_while_its_grants_are_renewed(
+    around: keepers.Keepers,
+) -> None:
+    """Have the keys of a server that has ended served with no lease's wait.
+
+    Its process knows that nothing listens there, also of keys that it may
+    not use any more.
+    """
+    await keepers.begin(around)
+    around.servers["a"].up = False
+    around.processes["a"].held.set([])
+    assert await around.until_covered(SERVED_AGAIN_S) < LOSS_TARGET_S
+
+
+async def server_starts_anew_before_its_keys_are_released(
+    around: keepers.Keepers,
+) -> None:
+    """Have heirs not wait for a run whose successor has come."""
+    await keepers.begin(around)
+    before = keepers.ownership(around).members()
+    around.servers["a"].up = False
+    await asyncio.sleep(1.2)
+    around.start_server("a")
+    assert await around.until_covered(SERVED_AGAIN_S) < 2.5
+    assert before == {"a", "b", "c", "d"}
+
+
 async def late_grant_of_a_killed_process(around: keepers.Keepers) -> None:
     """Let a process be killed whose grants are carried out late."""
     await keepers.begin(around)
@@ -106,6 +136,8 @@
     all_but_one_are_lost,
     killed_process_beside_a_live_server,
     server_that_drains_hands_over,
+    server_ends_while_its_grants_are_renewed,
+    server_starts_anew_before_its_keys_are_released,
     closed_to_all_but_one,
     old_news_reach_a_muted_owner,
     heirs_restart_while_the_lost_owner_acts,
