Do not say that a request was not run after a try that may have run

Ruled out: refusals of requests that must not be repeated: these are never tried again after such a loss. Change: the answer that may have run goes to the caller instead (502).

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
@@ -210,12 +210,19 @@
         return longest_s - left_s > route.target_s
 
     async def _until_done(self, progress: _Progress) -> answers.Answer:
-        """Try until there is an answer or no try is left."""
+        """Try until there is an answer or no try is left.
+
+        A try that may have run is not undone by a refusal of a later one.
+        """
+        uncertain: answers.Answer | None = None
         while True:
             answer = await self._try(progress)
+            if answer.verdict is verdicts.Verdict.MAY_HAVE_RUN:
+                uncertain = answer
             pause_s = self._pause(progress, answer)
             if pause_s is None:
-                return answer
+                refused = answer.verdict is verdicts.Verdict.NOT_RUN
+                return uncertain if refused and uncertain else answer
             await self.time.sleep(pause_s)
 
     def _pause(
--- /dev/null
+++ b/tests/test_router.py
@@ -0,0 +1,101 @@
+"""What callers are told after several tries of one request."""
+
+import asyncio
+import collections.abc
+import random
+import typing
+
+import pytest
+from bronzepaddle import answers, clocks, ids, retries, routes, verdicts
+from bronzepaddle_callers import intake
+from bronzepaddle_node import roster, router
+
+ME: typing.Final = ids.MemberId("me")
+SHOP: typing.Final = ids.ServiceName("shop")
+
+
+def answer(
+    verdict: verdicts.Verdict, reason: verdicts.Reason
+) -> answers.Answer:
+    if verdict is verdicts.Verdict.RAN:
+        return answers.Answer(200, (), iter(()), verdict, reason, ME)
+    return answers.refusal(reason, ME, verdict)
+
+
+LOST: typing.Final = (
+    verdicts.Verdict.MAY_HAVE_RUN,
+    verdicts.Reason.BACKEND_LOST,
+)
+TOO_LATE: typing.Final = (verdicts.Verdict.NOT_RUN, verdicts.Reason.TOO_LATE)
+SHED: typing.Final = (verdicts.Verdict.NOT_RUN, verdicts.Reason.SHED)
+SERVED: typing.Final = (verdicts.Verdict.RAN, verdicts.Reason.SERVED)
+
+Try: typing.TypeAlias = tuple[verdicts.Verdict, verdicts.Reason]
+
+
+class Scripted(router.Router):
+    """A router whose tries end as a list says."""
+
+    def __init__(self, tries: collections.abc.Iterable[Try]) -> None:
+        unused: typing.Any = None
+        super().__init__(
+            ME,
+            SHOP,
+            roster.Roster(ME, ids.ZoneName("zone")),
+            unused,
+            unused,
+            retries.Budgets(0.0, 100.0),
+            unused,
+            clocks.BootClock(),
+            random.Random(1),
+        )
+        self.script = list(tries)
+
+    async def _try(self, progress: typing.Any) -> answers.Answer:
+        progress.tries += 1
+        return answer(*self.script.pop(0))
+
+
+def told(kind: routes.RouteKind, tries: list[Try]) -> answers.Answer:
+    """Return what the caller of a request is told after some tries."""
+    found = Scripted(tries)
+    share = routes.Share(SHOP, 1.0)
+    found.learn_table(
+        routes.Table(
+            ids.BundleVersion(1),
+            (routes.Route("r", "h", "/", kind, 0, 5.0, 1.0, 3, (share,)),),
+            {SHOP: routes.ServiceRules(SHOP, False, 10, "/health")},
+            routes.Limits(),
+        )
+    )
+    arrival = intake.Arrival(
+        ids.RequestId("1"), "GET", "h", "/a", "/a", (), -1, 5.0, b"", None
+    )
+    progress = found._begin(arrival, found.time.now())
+    assert not isinstance(progress, answers.Answer)
+    return asyncio.run(found._until_done(progress))
+
+
+@pytest.mark.parametrize(
+    ("tries", "verdict", "status"),
+    [
+        ([SERVED], verdicts.Verdict.RAN, 200),
+        ([TOO_LATE], verdicts.Verdict.NOT_RUN, 503),
+        ([LOST, SERVED], verdicts.Verdict.RAN, 200),
+        # It may have run, whatever the second server says of itself.
+        ([LOST, TOO_LATE], verdicts.Verdict.MAY_HAVE_RUN, 502),
+        ([LOST, SHED], verdicts.Verdict.MAY_HAVE_RUN, 502),
+    ],
+)
+def test_refusal_is_true_after_several_tries(
+    tries: list[Try], verdict: verdicts.Verdict, status: int
+) -> None:
+    found = told(routes.RouteKind.IDEMPOTENT, tries)
+    assert (found.verdict, found.status) == (verdict, status)
+
+
+def test_request_that_may_have_run_is_not_sent_again_unless_idempotent() -> (
+    None
+):
+    found = told(routes.RouteKind.NOT_IDEMPOTENT, [LOST, SERVED])
+    assert found.verdict is verdicts.Verdict.MAY_HAVE_RUN
