--- a/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
@@ -39,6 +39,9 @@
 PLACE_PAUSE_S: typing.Final = 0.05
 """Pause before a key's owner is looked for again."""
 
+SHED_PAUSE_S: typing.Final = 0.01
+"""Pause before a server that refused a request is asked once more."""
+
 PLACE_SHARE: typing.Final = 0.3
 """Share of a route's target time that may go into waiting for an owner."""
 
@@ -264,8 +267,7 @@
             progress.tried.clear()
             return PLACE_PAUSE_S
         if progress.keyed:
-            # Nobody else has the key.
-            return None
+            return self._pause_at_owner(progress, answer)
         others = self.roster.able(progress.service, now, progress.tried)
         if not others or progress.tries > progress.route.most_sends + 1:
             return None
@@ -274,6 +276,21 @@
             return 0.0 if self.budgets.spend(progress.service) else None
         return 0.0
 
+    def _pause_at_owner(
+        self, progress: _Progress, answer: answers.Answer
+    ) -> float | None:
+        """Return the pause before the one server of a key is asked again.
+
+        Only where the server itself refused, at once: one that fails part
+        of its requests takes the next.  A full line here is no such case.
+        """
+        shed = answer.reason is verdicts.Reason.SHED
+        again = shed and progress.reached < progress.route.most_sends
+        if again and self.budgets.spend(progress.service):
+            progress.tried.clear()
+            return SHED_PAUSE_S
+        return None
+
     async def _try(self, progress: _Progress) -> answers.Answer:
         """Send a request to the process chosen for it, once."""
         now = self.time.now()
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -53,10 +53,13 @@
 
     async def _try(self, progress: typing.Any) -> answers.Answer:
         progress.tries += 1
+        progress.reached += 1
         return answer(*self.script.pop(0))
 
 
-def told(kind: routes.RouteKind, tries: list[Try]) -> answers.Answer:
+def told(
+    kind: routes.RouteKind, tries: list[Try], keyed: bool = False
+) -> answers.Answer:
     """Return what the caller of a request is told after some tries."""
     found = Scripted(tries)
     share = routes.Share(SHOP, 1.0)
@@ -64,12 +67,12 @@
         routes.Table(
             ids.BundleVersion(1),
             (routes.Route("r", "h", "/", kind, 0, 5.0, 1.0, 3, (share,)),),
-            {SHOP: routes.ServiceRules(SHOP, False, 10, "/health")},
+            {SHOP: routes.ServiceRules(SHOP, keyed, 10, "/health")},
             routes.Limits(),
         )
     )
     arrival = intake.Arrival(
-        ids.RequestId("1"), "GET", "h", "/a", "/a", (), -1, 5.0, b"", None
+        ids.RequestId("1"), "GET", "h", "/a", "/a", (), 7, 5.0, b"", None
     )
     progress = found._begin(arrival, found.time.now())
     assert not isinstance(progress, answers.Answer)
@@ -99,3 +102,21 @@
 ):
     found = told(routes.RouteKind.NOT_IDEMPOTENT, [LOST, SERVED])
     assert found.verdict is verdicts.Verdict.MAY_HAVE_RUN
+
+
+@pytest.mark.parametrize(
+    ("tries", "verdict"),
+    [
+        ([SHED, SERVED], verdicts.Verdict.RAN),
+        ([SHED, SHED, SERVED], verdicts.Verdict.RAN),
+        # The route allows three sends.
+        ([SHED, SHED, SHED, SERVED], verdicts.Verdict.NOT_RUN),
+        # Its line is full: another try would only add to it.
+        ([TOO_LATE, SERVED], verdicts.Verdict.NOT_RUN),
+    ],
+)
+def test_server_of_a_key_that_refuses_is_asked_again(
+    tries: list[Try], verdict: verdicts.Verdict
+) -> None:
+    found = told(routes.RouteKind.NOT_IDEMPOTENT, tries, keyed=True)
+    assert found.verdict is verdict
