Let a server that has not been measured be chosen; explain requests from logs

At low load a server that joins a quick service would get no request at all. Change: a server without a measurement is taken for as fast as the fastest that has one. Besides: bronzepaddle explain request ID and explain holders KEY tell the story of a request, or of a key, from log files or standard input, with what changed around it.

--- a/packages/bronzepaddle-operators/src/bronzepaddle_operators/cli.py
+++ b/packages/bronzepaddle-operators/src/bronzepaddle_operators/cli.py
@@ -16,6 +16,8 @@
 from bronzepaddle import bundle_ini
 from bronzepaddle import status as status_of
 
+from bronzepaddle_operators import explaining
+
 COMMANDS_GROUP: typing.Final = "bronzepaddle.commands"
 TIMEOUT_S: typing.Final = 3.0
 
@@ -124,6 +126,47 @@
     )
 
 
+_logs = click.argument(
+    "logs", nargs=-1, type=click.Path(path_type=pathlib.Path)
+)
+
+
+@explain.command("request")
+@click.argument("request_id")
+@_logs
+def explain_request(request_id: str, logs: tuple[pathlib.Path, ...]) -> None:
+    """Tell from log files (or standard input) what became of a request."""
+    story = list(explaining.request(_entries(logs), request_id))
+    if not story:
+        raise click.ClickException(f"no line tells of request {request_id}")
+    click.echo("\n".join(story))
+
+
+@explain.command("holders")
+@click.argument("key", type=int)
+@_logs
+def explain_holders(key: int, logs: tuple[pathlib.Path, ...]) -> None:
+    """Tell from log files (or standard input) who has held a numeric key."""
+    story = list(explaining.key(_entries(logs), key))
+    if not story:
+        raise click.ClickException(f"no line tells of key {key}")
+    click.echo("\n".join(story))
+
+
+def _entries(logs: tuple[pathlib.Path, ...]) -> list[explaining.Entry]:
+    """Return the log lines in some files, of standard input if none."""
+    if not logs:
+        return list(explaining.read("input", sys.stdin.read()))
+    found: list[explaining.Entry] = []
+    for path in logs:
+        try:
+            text = path.read_text(encoding="utf-8", errors="replace")
+        except OSError as error:
+            raise click.ClickException(f"{path}: {error}") from error
+        found.extend(explaining.read(path.stem, text))
+    return found
+
+
 def _text(
     method: str,
     process: str,
--- /dev/null
+++ b/packages/bronzepaddle-operators/src/bronzepaddle_operators/explaining.py
@@ -0,0 +1,238 @@
+"""Tells from log lines what happened to a request, or to a key, and why.
+
+``read`` takes the lines of any number of processes, as they stand in files;
+``request`` and ``key`` pick those that bear on one question and turn them
+into sentences.  The lines are written by ``bronzepaddle.logs``.
+"""
+
+import collections.abc
+import dataclasses
+import typing
+
+import msgspec
+from bronzepaddle import problems, verdicts
+
+AROUND_S: typing.Final = 5.0
+"""Time around a request in which changes may have caused its end."""
+
+MOST_CHANGES: typing.Final = 20
+"""Changes that are told of one request at most."""
+
+
+class Send(msgspec.Struct, frozen=True):
+    """One send of a request, see ``bronzepaddle.logs.Send``."""
+
+    member: str
+    run: str
+    load: int
+    heard_ago_s: float
+    verdict: str
+    reason: str
+    took_s: float
+
+
+class Queue(msgspec.Struct, frozen=True):
+    """A server's line, see ``bronzepaddle.logs.Queue``."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+class Line(msgspec.Struct, frozen=True):
+    """One log line; fields that its kind does not have stay empty."""
+
+    message_type: str
+    timestamp: float
+    request_id: str = ""
+    route: str = ""
+    service: str = ""
+    key: int | None = None
+    host: str = ""
+    path: str = ""
+    status: int = 0
+    verdict: str = ""
+    reason: str = ""
+    detail: str = ""
+    retry_after_s: float | None = None
+    sends: tuple[Send, ...] = ()
+    took_s: float = 0.0
+    queue: Queue | None = None
+    run: str = ""
+    what: str = ""
+    member: str = ""
+    alive: bool = True
+    held: bool = True
+    reached: bool = True
+    name: str = ""
+    heard_ago_s: float = 0.0
+    left_s: float = 0.0
+    first: int = -1
+    last: int = -1
+    token: int = 0
+    hold_s: float = 0.0
+    order: str = ""
+    version: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Entry:
+    """A line and where it came from: the text before it, or its file."""
+
+    source: str
+    line: Line
+
+
+def read(source: str, text: str) -> collections.abc.Iterator[Entry]:
+    """Yield the log lines in a text; whatever else is in it is passed over.
+
+    A collector may put a time or the name of a VM before each line.
+    """
+    for row in text.splitlines():
+        before, brace, rest = row.partition("{")
+        try:
+            line = msgspec.json.decode(brace + rest, type=Line)
+        except msgspec.DecodeError:
+            continue
+        yield Entry(before.strip() or source, line)
+
+
+def request(
+    entries: collections.abc.Sequence[Entry], request_id: str
+) -> collections.abc.Iterator[str]:
+    """Yield the story of one request, a sentence each; nothing if unknown."""
+    own = _in_order(
+        one for one in entries if one.line.request_id == request_id
+    )
+    if not own:
+        return
+    for entry in own:
+        yield from _told(entry)
+    yield from _changes(entries, own)
+
+
+def key(
+    entries: collections.abc.Sequence[Entry], wanted: int
+) -> collections.abc.Iterator[str]:
+    """Yield who was granted a key, and who gave it up, in order."""
+    for entry in _in_order(entries):
+        line = entry.line
+        if not line.first <= wanted <= line.last:
+            continue
+        match line.message_type:
+            case "keys-granted":
+                what = f"holds it by token {line.token}"
+            case "keys-released":
+                what = f"gave it up under token {line.token}"
+            case "order-failed":
+                what = f"{line.order} failed: {line.detail}"
+            case _:
+                continue
+        yield f"{_when(entry)}: {what}"
+
+
+def _in_order(
+    entries: collections.abc.Iterable[Entry],
+) -> list[Entry]:
+    return sorted(entries, key=lambda one: one.line.timestamp)
+
+
+def _when(entry: Entry) -> str:
+    return f"{entry.line.timestamp:.3f} {entry.source}"
+
+
+def _told(entry: Entry) -> collections.abc.Iterator[str]:
+    """Yield what one line of a request says."""
+    line = entry.line
+    match line.message_type:
+        case "unroutable":
+            yield (
+                f"{_when(entry)}: no service for {line.host}{line.path}: "
+                f"{_why(line.reason)}; answered {line.status}"
+            )
+        case "turned-away":
+            why = _why(line.reason)
+            yield f"{_when(entry)}: not sent to its server: {why}"
+            if line.queue is not None:
+                yield (
+                    f"  {line.queue.running} of {line.queue.slots} slots in "
+                    f"use, {line.queue.waiting} waiting; {line.detail}"
+                )
+        case "lost-at-server":
+            yield (
+                f"{_when(entry)}: sent to server run {line.run}, no whole "
+                f"answer: {_why(line.reason)} ({line.detail})"
+            )
+        case "served" | "not-served":
+            yield from _answered(entry)
+
+
+def _answered(entry: Entry) -> collections.abc.Iterator[str]:
+    line = entry.line
+    place = "" if line.key is None else f", key {line.key}"
+    yield f"{_when(entry)}: route {line.route}, service {line.service}{place}"
+    for send in line.sends:
+        yield (
+            f"  sent to {send.member} (its status {send.heard_ago_s:.2f} s "
+            f"old, {send.load} requests there): {send.verdict}, "
+            f"{_why(send.reason)}, after {send.took_s:.3f} s"
+        )
+    again = (
+        ""
+        if line.retry_after_s is None
+        else f", to come back after {line.retry_after_s:.2f} s"
+    )
+    yield (
+        f"  answered {line.status} after {line.took_s:.3f} s: "
+        f"{_why(line.reason)} ({line.verdict}){again}"
+    )
+
+
+def _why(reason: str) -> str:
+    """Return a reason with its explanation."""
+    try:
+        known = verdicts.Reason(reason)
+    except ValueError:
+        return reason
+    return f"{reason} - {problems.title_of(known)}"
+
+
+def _changes(
+    entries: collections.abc.Sequence[Entry],
+    own: collections.abc.Sequence[Entry],
+) -> collections.abc.Iterator[str]:
+    """Yield what changed around a request where it was sent."""
+    members = {send.member for one in own for send in one.line.sends}
+    since = own[0].line.timestamp - AROUND_S
+    until = own[-1].line.timestamp + AROUND_S
+    told = 0
+    for entry in _in_order(entries):
+        text = _change(entry, members)
+        if text and since <= entry.line.timestamp <= until:
+            told += 1
+            if told > MOST_CHANGES:
+                yield "  (more changes follow)"
+                return
+            yield f"around it, {_when(entry)}: {text}"
+
+
+def _change(
+    entry: Entry, members: collections.abc.Container[str]
+) -> str | None:
+    """Return what a line says of a change, None if it is of another kind."""
+    line = entry.line
+    match line.message_type:
+        case "process":
+            return f"the process {line.what}"
+        case "server":
+            return f"its server {line.what} {line.detail}".rstrip()
+        case "lease":
+            return "the lease holds" if line.held else "the lease has run out"
+        case "dependency":
+            now = "reached again" if line.reached else "not reached"
+            return f"{line.name} {now}: {line.detail}"
+        case "peer" if line.member in members:
+            now = "heard of again" if line.alive else "silent"
+            return f"{line.member} {now} ({line.heard_ago_s:.1f} s)"
+        case _:
+            return None
--- a/packages/bronzepaddle/src/bronzepaddle/choosing.py
+++ b/packages/bronzepaddle/src/bronzepaddle/choosing.py
@@ -17,7 +17,7 @@
 """Share by which a candidate's expected time is blurred."""
 
 UNKNOWN_SERVICE_S: typing.Final = 0.05
-"""Taken for a server whose service time nobody has measured yet."""
+"""Taken for servers of a service of which none has been measured yet."""
 
 COLD_FACTOR: typing.Final = 2.0
 """How much longer a server that has just started takes."""
@@ -48,16 +48,26 @@
     """Return the candidate with the least expected time, None of none."""
     if not candidates:
         return None
+    measured = [one.service_s for one in candidates if one.service_s]
+    unmeasured_s = min(measured, default=UNKNOWN_SERVICE_S)
     best = min(
         candidates,
-        key=lambda one: expected_s(one) * draw.uniform(1 - NOISE, 1 + NOISE),
+        key=lambda one: (
+            expected_s(one, unmeasured_s) * draw.uniform(1 - NOISE, 1 + NOISE)
+        ),
     )
     return best.member
 
 
-def expected_s(one: Candidate) -> float:
-    """Return the time until an answer from a candidate is expected."""
-    each_s = one.service_s or UNKNOWN_SERVICE_S
+def expected_s(
+    one: Candidate, unmeasured_s: float = UNKNOWN_SERVICE_S
+) -> float:
+    """Return the time until an answer from a candidate is expected.
+
+    A server that has not been measured is taken for as fast as the fastest:
+    one taken for slower might never get the request that would measure it.
+    """
+    each_s = one.service_s or unmeasured_s
     if one.cold:
         each_s *= COLD_FACTOR
     turns = max(1.0, (one.outstanding + 1) / max(1, one.slots))
--- a/packages/bronzepaddle/src/bronzepaddle/problems.py
+++ b/packages/bronzepaddle/src/bronzepaddle/problems.py
@@ -68,12 +68,22 @@
     verdicts.Reason.BACKEND_LOST: "The backend server was lost meanwhile",
     verdicts.Reason.PEER_LOST: "The owner's process was lost meanwhile",
     verdicts.Reason.DEADLINE: "The deadline passed",
+    verdicts.Reason.SERVER_ENDED: "Nothing listens at the server's address",
+    verdicts.Reason.TRUNCATED: "The server's answer was not whole",
+    verdicts.Reason.CONNECT_FAILED: "No connection to the server",
+    verdicts.Reason.PEER_UNREACHABLE: "The server's process is not reached",
+    verdicts.Reason.CANCELLED: "The caller hung up",
     verdicts.Reason.OLD_ID: "Whether this id ran before is not known",
     verdicts.Reason.STILL_RUNNING: "The first request with this id runs",
     verdicts.Reason.RESULT_NOT_KEPT: "This id ran; its result is not kept",
 }
 
 
+def title_of(why: verdicts.Reason) -> str:
+    """Return in a few words what a reason means."""
+    return _TITLES.get(why, why.value.replace("-", " ").capitalize())
+
+
 def status_of(
     why: verdicts.Reason, ran: verdicts.Verdict = verdicts.Verdict.NOT_RUN
 ) -> int:
@@ -97,7 +107,7 @@
     """Return the document that tells a caller why it got no answer."""
     return Problem(
         type=f"urn:bronzepaddle:problem:{why.value}",
-        title=_TITLES.get(why, why.value.replace("-", " ").capitalize()),
+        title=title_of(why),
         status=status_of(why, ran),
         detail=detail,
         verdict=ran.value,
