--- a/packages/bronzepaddle-node/src/bronzepaddle_node/serving.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/serving.py
@@ -215,7 +215,7 @@
             self.workers, server.links.send, outgoing, cancellation
         )
         running.add_done_callback(
-            lambda done: self._ended(server, place, ask, done)
+            lambda done: self._ended(server, place, ask, cancellation, done)
         )
         try:
             return await asyncio.shield(running)
@@ -228,6 +228,7 @@
         server: Server,
         place: waiting.Place,
         ask: exchanges.Ask,
+        cancellation: connections.Cancellation,
         done: "asyncio.Future[answers.Answer]",
     ) -> None:
         """Give the slot back once the worker thread is through."""
@@ -240,7 +241,12 @@
         if answer is None:
             return
         if answer.verdict is verdicts.Verdict.MAY_HAVE_RUN:
-            logs.lost_at_server(ask.request_id, server.said.run, answer)
+            logs.lost_at_server(
+                ask.request_id,
+                server.said.run,
+                answer,
+                cancellation.cancelled,
+            )
         if server is not self.server:
             return
         self.crashes.answered(
--- a/packages/bronzepaddle-operators/src/bronzepaddle_operators/explaining.py
+++ b/packages/bronzepaddle-operators/src/bronzepaddle_operators/explaining.py
@@ -12,7 +12,7 @@
 import msgspec
 from bronzepaddle import problems, verdicts
 
-AROUND_S: typing.Final = 5.0
+AROUND_S: typing.Final = 3.0
 """Time around a request in which changes may have caused its end."""
 
 MOST_CHANGES: typing.Final = 20
@@ -64,6 +64,7 @@
     alive: bool = True
     held: bool = True
     reached: bool = True
+    broken_off: bool = False
     name: str = ""
     heard_ago_s: float = 0.0
     left_s: float = 0.0
@@ -159,9 +160,11 @@
                     f"use, {line.queue.waiting} waiting; {line.detail}"
                 )
         case "lost-at-server":
+            lost = f"{_why(line.reason)} ({line.detail})"
+            why = "broken off here" if line.broken_off else lost
             yield (
-                f"{_when(entry)}: sent to server run {line.run}, no whole "
-                f"answer: {_why(line.reason)} ({line.detail})"
+                f"{_when(entry)}: sent to server run {line.run}, "
+                f"no whole answer: {why}"
             )
         case "served" | "not-served":
             yield from _answered(entry)
@@ -201,12 +204,15 @@
     entries: collections.abc.Sequence[Entry],
     own: collections.abc.Sequence[Entry],
 ) -> collections.abc.Iterator[str]:
-    """Yield what changed around a request where it was sent."""
+    """Yield what changed around a request in the processes it went through."""
     members = {send.member for one in own for send in one.line.sends}
+    places = members | {one.source.split()[-1] for one in own if one.source}
     since = own[0].line.timestamp - AROUND_S
     until = own[-1].line.timestamp + AROUND_S
     told = 0
     for entry in _in_order(entries):
+        if not any(place in entry.source for place in places):
+            continue
         text = _change(entry, members)
         if text and since <= entry.line.timestamp <= until:
             told += 1
--- a/packages/bronzepaddle/src/bronzepaddle/logs.py
+++ b/packages/bronzepaddle/src/bronzepaddle/logs.py
@@ -267,9 +267,16 @@
 
 
 def lost_at_server(
-    request_id: ids.RequestId, run: str, answer: answers.Answer
+    request_id: ids.RequestId,
+    run: str,
+    answer: answers.Answer,
+    broken_off: bool,
 ) -> None:
-    """Log a request that was sent to the server and has no whole answer."""
+    """Log a request that was sent to the server and has no whole answer.
+
+    ``broken_off``: this process closed the connection, since the caller had
+    left or the deadline had passed.
+    """
     eliot.log_message(
         message_type="lost-at-server",
         request_id=request_id,
@@ -277,6 +284,7 @@
         verdict=answer.verdict.value,
         reason=answer.reason.value,
         detail=answer.detail,
+        broken_off=broken_off,
     )
 
 
--- a/tests/integration/test_sidecar.py
+++ b/tests/integration/test_sidecar.py
@@ -122,6 +122,8 @@
 address = {self.store.address}
 [backend]
 announce-ms = {ANNOUNCE_S * 1000}
+[metrics]
+listen = 127.0.0.1:{free_port()}
 """
 
     def _report(self) -> None:
@@ -288,6 +290,16 @@
         server.slow.clear()
 
 
+def test_metrics_are_served(fleet: Fleet) -> None:
+    assert fleet.send("one", "/plain/a").status == 200
+    at = fleet.sidecars["one"].settings.metrics
+    assert at is not None
+    page = fleet.http.request("GET", f"http://{at.host}:{at.port}/metrics")
+    assert page.status == 200
+    assert page.headers["Content-Type"].startswith("text/plain")
+    assert b"bronzepaddle_requests_total{" in page.data
+
+
 def test_leaving_server_gets_no_more_and_hands_its_keys_over(
     fleet: Fleet,
 ) -> None:
