--- a/packages/bronzepaddle-backend/src/bronzepaddle_backend/orders.py
+++ b/packages/bronzepaddle-backend/src/bronzepaddle_backend/orders.py
@@ -9,7 +9,7 @@
 
 import msgspec
 import urllib3
-from bronzepaddle import ids
+from bronzepaddle import ids, logs
 
 GRANTS_PATH: typing.Final = "/bronzepaddle/grants"
 DRAIN_PATH: typing.Final = "/bronzepaddle/drain"
@@ -62,7 +62,8 @@
                 retries=False,
                 timeout=ORDER_TIMEOUT_S,
             )
-        except urllib3.exceptions.HTTPError:
+        except urllib3.exceptions.HTTPError as error:
+            logs.call_failed(f"order {_path(order)}", repr(error))
             return False
         return response.status < 300
 
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/coordinator.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/coordinator.py
@@ -252,9 +252,9 @@
             return
         try:
             await self.peers.hand_over(view.members[owner].address, request)
-        except link.PeerError:
+        except link.PeerError as error:
             # The next round plans anew.
-            return
+            logs.call_failed(f"handover by {owner}", str(error))
 
 
 def _can_coordinate(view: cells.Cell) -> bool:
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/handover.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/handover.py
@@ -107,8 +107,8 @@
                 continue
             try:
                 await self.peers.take_windows(member.address, request)
-            except link.PeerError:
-                continue
+            except link.PeerError as error:
+                logs.call_failed(f"windows for {heir}", str(error))
 
     async def _write(self, given: cells.Assignment, move: ids.MoveId) -> bool:
         def change(now: cells.Cell | None) -> cells.Cell | None:
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/joining.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/joining.py
@@ -57,6 +57,7 @@
         try:
             found = await updates.read(self.objects, self.state.identity.cell)
         except store.StoreDownError:
+            # Logged where the store is called; asked again later.
             return False
         known = None if found is None else found.cell
         if known is not None and not await self._may_change(known):
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
@@ -121,6 +121,7 @@
 
     async def _until_hung_up(self, arrival: intake.Arrival) -> answers.Answer:
         """Serve a request; give it up when the caller closes."""
+        began = self.time.now()
         serving_it = asyncio.ensure_future(self._serve(arrival))
         watch = _HangUp(arrival.socket, serving_it.cancel)
         try:
@@ -128,6 +129,7 @@
         except asyncio.CancelledError:
             if not watch.happened:
                 raise
+            logs.given_up(arrival.request_id, self.time.now() - began)
             return self._refuse(
                 verdicts.Reason.CANCELLED, verdicts.Verdict.MAY_HAVE_RUN
             )
@@ -162,6 +164,7 @@
             progress.arrival.key if progress.keyed else None,
             answer,
             progress.sends,
+            ids.BundleVersion(0) if self.table is None else self.table.version,
             took_s,
         )
         self.meters.answered(
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/watching.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/watching.py
@@ -55,6 +55,7 @@
             try:
                 found = await self.objects.watch(name, view.version, WATCH_S)
             except store.StoreDownError:
+                # Logged where the store is called; asked again later.
                 await self.state.time.sleep(PAUSE_S)
                 continue
             if found is not None:
@@ -64,6 +65,7 @@
         try:
             found = await updates.read(self.objects, self.state.identity.cell)
         except store.StoreDownError:
+            # Logged where the store is called; asked again later.
             return
         if found is not None:
             self._adopt(found)
--- a/packages/bronzepaddle-operators/src/bronzepaddle_operators/explaining.py
+++ b/packages/bronzepaddle-operators/src/bronzepaddle_operators/explaining.py
@@ -166,6 +166,11 @@
                 f"{_when(entry)}: sent to server run {line.run}, "
                 f"no whole answer: {why}"
             )
+        case "given-up":
+            yield (
+                f"{_when(entry)}: its caller left after {line.took_s:.3f} s; "
+                "it was broken off"
+            )
         case "served" | "not-served":
             yield from _answered(entry)
 
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/datagrams.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/datagrams.py
@@ -11,7 +11,7 @@
 import typing
 
 import msgspec
-from bronzepaddle import cells
+from bronzepaddle import cells, logs
 
 from bronzepaddle_peers import codec
 
@@ -79,6 +79,7 @@
         message = unseal(data, self.key, self.message_type)
         if message is None:
             self.rejected += 1
+            logs.bad_document(f"datagram of {addr}", f"{len(data)} bytes")
             return
         self.receive(message)
 
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/streams.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/streams.py
@@ -17,7 +17,7 @@
 import grpclib.const
 import grpclib.exceptions
 import grpclib.server
-from bronzepaddle import answers, cells, ids, verdicts
+from bronzepaddle import answers, cells, ids, logs, verdicts
 
 from bronzepaddle_peers import client, codec, exchanges, statuses
 
@@ -180,6 +180,11 @@
 
     def _fail(self, error: Exception) -> None:
         """Answer what is outstanding: what was written may have run."""
+        if self.pending:
+            logs.call_failed(
+                f"stream to {self.member}",
+                f"{len(self.pending)} outstanding: {error!r}",
+            )
         self.closed = True
         for pending in self.pending.values():
             if pending.reply.done():
@@ -364,6 +369,8 @@
 async def _write_out(
     stream: _Stream, out: "asyncio.Queue[exchanges.Downward]"
 ) -> None:
+    # The reader of the same stream ends too, and with it what it serves;
+    # the asker logs the loss.
     with contextlib.suppress(*client.BROKEN):
         while True:
             await stream.send_message(await out.get())
--- a/packages/bronzepaddle/src/bronzepaddle/logs.py
+++ b/packages/bronzepaddle/src/bronzepaddle/logs.py
@@ -193,6 +193,15 @@
     )
 
 
+def given_up(request_id: ids.RequestId, took_s: float) -> None:
+    """Log a request that was broken off, since its caller has left."""
+    eliot.log_message(
+        message_type="given-up",
+        request_id=request_id,
+        took_s=round(took_s, 4),
+    )
+
+
 @dataclasses.dataclass(frozen=True)
 class Send:
     """One send of a request, and what it was decided by.
@@ -217,6 +226,7 @@
     key: int | None,
     answer: answers.Answer,
     sends: collections.abc.Sequence[Send],
+    config_version: ids.BundleVersion,
     took_s: float,
 ) -> None:
     """Log what became of a request, with each of its sends."""
@@ -233,6 +243,7 @@
         retry_after_s=answer.retry_after_s,
         detail=answer.detail,
         sends=[dataclasses.asdict(one) for one in sends],
+        config_version=config_version,
         took_s=round(took_s, 4),
     )
 
--- a/tests/integration/test_explaining.py
+++ b/tests/integration/test_explaining.py
@@ -53,8 +53,10 @@
 class Fleet:
     """Processes as operators run them, with logs in files."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(self, folder: pathlib.Path, unread: bool = False) -> None:
         self.folder = folder
+        # Whether nobody reads what the processes write.
+        self.unread = unread
         self.store = platform_standins.ObjectStore()
         quick = {
             **sidecars.route("/quick/", "plain"),
@@ -83,17 +85,12 @@
             settings(name, self.store.address, self.ports[name]),
             encoding="utf-8",
         )
+        run = [sys.executable, "-m", "bronzepaddle_node.main"]
+        command = [*run, "--config", str(path)]
+        if self.unread:
+            return subprocess.Popen(command, stdout=subprocess.PIPE)
         with self.log(name).open("wb") as log:
-            return subprocess.Popen(
-                [
-                    sys.executable,
-                    "-m",
-                    "bronzepaddle_node.main",
-                    "--config",
-                    str(path),
-                ],
-                stdout=log,
-            )
+            return subprocess.Popen(command, stdout=log)
 
     def log(self, name: str) -> pathlib.Path:
         return self.folder / f"{name}.log"
@@ -245,3 +242,27 @@
     )
     assert result.exit_code == 1
     assert "no line tells of request r-unknown" in result.output
+
+
+FULL_S: typing.Final = 10.0
+PIPE_BYTES: typing.Final = 64 * 1024
+LEAST_LINE_BYTES: typing.Final = 400
+
+
+def test_log_that_nobody_reads_stops_no_request(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Keep the pipe full for a while under load."""
+    fleet = Fleet(tmp_path, unread=True)
+    try:
+        fleet.begin()
+        sent = 0
+        full_since: float | None = None
+        while full_since is None or time.monotonic() - full_since < FULL_S:
+            answer = fleet.send("three", "/plain/a", f"r-{sent}")
+            assert answer.status == 200
+            sent += 1
+            if full_since is None and sent * LEAST_LINE_BYTES > PIPE_BYTES:
+                full_since = time.monotonic()
+    finally:
+        fleet.stop()
