One reader of settings for both roots; one copy of what lines hold

The reading of HOST:PORT, of a file and the gathering of errors stood twice; log lines' sends and queues were declared again where they are read. Behaviour as it was: test_options, test_sidecar_options and test_explaining pass.

--- a/packages/bronzepaddle-operators/src/bronzepaddle_operators/explaining.py
+++ b/packages/bronzepaddle-operators/src/bronzepaddle_operators/explaining.py
@@ -10,7 +10,7 @@
 import typing
 
 import msgspec
-from bronzepaddle import problems, verdicts
+from bronzepaddle import logs, problems, verdicts
 
 AROUND_S: typing.Final = 3.0
 """Time around a request in which changes may have caused its end."""
@@ -19,26 +19,6 @@
 """Changes that are told of one request at most."""
 
 
-class Send(msgspec.Struct, frozen=True):
-    """One send of a request, see ``bronzepaddle.logs.Send``."""
-
-    member: str
-    run: str
-    load: int
-    heard_ago_s: float
-    verdict: str
-    reason: str
-    took_s: float
-
-
-class Queue(msgspec.Struct, frozen=True):
-    """A server's line, see ``bronzepaddle.logs.Queue``."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 class Line(msgspec.Struct, frozen=True):
     """One log line; fields that its kind does not have stay empty."""
 
@@ -55,9 +35,9 @@
     reason: str = ""
     detail: str = ""
     retry_after_s: float | None = None
-    sends: tuple[Send, ...] = ()
+    sends: tuple[logs.Send, ...] = ()
     took_s: float = 0.0
-    queue: Queue | None = None
+    queue: logs.Queue | None = None
     run: str = ""
     what: str = ""
     member: str = ""
--- a/packages/bronzepaddle/src/bronzepaddle/options.py
+++ b/packages/bronzepaddle/src/bronzepaddle/options.py
@@ -94,6 +94,19 @@
 
 def load(path: pathlib.Path) -> OptionsResult:
     """Return the settings in a file, or all that is wrong with them."""
+    return loaded(path, _Reader, _Reader.options)
+
+
+_Settings = typing.TypeVar("_Settings")
+_ReaderOf = typing.TypeVar("_ReaderOf", bound="SettingsReader")
+
+
+def loaded(
+    path: pathlib.Path,
+    reader_of: type[_ReaderOf],
+    read: collections.abc.Callable[[_ReaderOf], _Settings],
+) -> returns.result.Result[_Settings, tuple[OptionsError, ...]]:
+    """Return what a reader makes of a file, or all that is wrong with it."""
     parser = configparser.ConfigParser(interpolation=None, strict=True)
     try:
         parser.read_string(path.read_text(encoding="utf-8"))
@@ -102,15 +115,15 @@
         return returns.result.Failure(
             (OptionsError(str(path), "", "", detail),)
         )
-    reader = _Reader(path, parser)
-    found = reader.options()
+    reader = reader_of(path, parser)
+    found = read(reader)
     if reader.errors:
         return returns.result.Failure(tuple(reader.errors))
     return returns.result.Success(found)
 
 
-class _Reader(ini.Reader):
-    """Turns sections into options and gathers every error on the way."""
+class SettingsReader(ini.Reader):
+    """Reads the values of a settings file, and gathers its errors."""
 
     def __init__(
         self, path: pathlib.Path, parser: configparser.ConfigParser
@@ -119,6 +132,29 @@
         super().__init__(parser)
         self.errors: list[OptionsError] = []
 
+    def endpoint(self, section: str, key: str = "listen") -> Endpoint:
+        """Read HOST:PORT."""
+        return self.one_endpoint(section, key, self.text(section, key))
+
+    def one_endpoint(self, section: str, key: str, value: str) -> Endpoint:
+        """Check one HOST:PORT."""
+        host, colon, port = value.rpartition(":")
+        if not (host and colon and port.isdecimal() and int(port) < 65_536):
+            if value:
+                self.wrong(
+                    "bad-endpoint", section, key, f"HOST:PORT, not {value}"
+                )
+            return Endpoint("", 0)
+        return Endpoint(host, int(port))
+
+    def wrong(self, code: str, section: str, key: str, detail: str) -> None:
+        """Note an error and go on."""
+        self.errors.append(OptionsError(str(self.path), section, key, detail))
+
+
+class _Reader(SettingsReader):
+    """Turns sections into options and gathers every error on the way."""
+
     def options(self) -> Options:
         """Read all sections."""
         self.check_names()
@@ -214,10 +250,6 @@
             )
             return b""
 
-    def endpoint(self, section: str, key: str) -> Endpoint:
-        """Read HOST:PORT."""
-        return self.one_endpoint(section, key, self.text(section, key))
-
     def optional_endpoint(self, section: str, key: str) -> Endpoint | None:
         """Read HOST:PORT where it is given."""
         value = self.text(section, key, "")
@@ -229,18 +261,3 @@
         """Read a list of HOST:PORT."""
         for word in self.words(section, key):
             yield self.one_endpoint(section, key, word)
-
-    def one_endpoint(self, section: str, key: str, value: str) -> Endpoint:
-        """Check one HOST:PORT."""
-        host, colon, port = value.rpartition(":")
-        if not (host and colon and port.isdecimal() and int(port) < 65_536):
-            if value:
-                self.wrong(
-                    "bad-endpoint", section, key, f"HOST:PORT, not {value}"
-                )
-            return Endpoint("", 0)
-        return Endpoint(host, int(port))
-
-    def wrong(self, code: str, section: str, key: str, detail: str) -> None:
-        """Note an error and go on."""
-        self.errors.append(OptionsError(str(self.path), section, key, detail))
--- a/packages/bronzepaddle/src/bronzepaddle/sidecar_options.py
+++ b/packages/bronzepaddle/src/bronzepaddle/sidecar_options.py
@@ -12,7 +12,7 @@
 
 import returns.result
 
-from bronzepaddle import ids, ini, logwriter, options, storeleases
+from bronzepaddle import ids, logwriter, options, storeleases
 
 FORM: typing.Final = "objects"
 """Value of ``[platform] form`` that these settings are for."""
@@ -75,19 +75,7 @@
 
 def load(path: pathlib.Path) -> SidecarResult:
     """Return the settings in a file, or all that is wrong with them."""
-    parser = configparser.ConfigParser(interpolation=None, strict=True)
-    try:
-        parser.read_string(path.read_text(encoding="utf-8"))
-    except (OSError, UnicodeDecodeError, configparser.Error) as error:
-        detail = str(error).replace("\n", " ")
-        return returns.result.Failure(
-            (options.OptionsError(str(path), "", "", detail),)
-        )
-    reader = _Reader(path, parser)
-    found = reader.settings()
-    if reader.errors:
-        return returns.result.Failure(tuple(reader.errors))
-    return returns.result.Success(found)
+    return options.loaded(path, _Reader, _Reader.settings)
 
 
 def is_for(path: pathlib.Path) -> bool:
@@ -101,16 +89,9 @@
     return parser.get("platform", "form", fallback="") == FORM
 
 
-class _Reader(ini.Reader):
+class _Reader(options.SettingsReader):
     """Turns sections into options and gathers every error on the way."""
 
-    def __init__(
-        self, path: pathlib.Path, parser: configparser.ConfigParser
-    ) -> None:
-        self.path = path
-        super().__init__(parser)
-        self.errors: list[options.OptionsError] = []
-
     def settings(self) -> SidecarOptions:
         """Read all sections."""
         for section, key in self._unknown():
@@ -170,21 +151,3 @@
             for key in self.parser[section]:
                 if key not in known:
                     yield section, key
-
-    def endpoint(self, section: str, key: str = "listen") -> options.Endpoint:
-        """Read HOST:PORT."""
-        value = self.text(section, key)
-        host, colon, port = value.rpartition(":")
-        if not (host and colon and port.isdecimal() and int(port) < 65_536):
-            if value:
-                self.wrong(
-                    "bad-endpoint", section, key, f"HOST:PORT, not {value}"
-                )
-            return options.Endpoint("", 0)
-        return options.Endpoint(host, int(port))
-
-    def wrong(self, code: str, section: str, key: str, detail: str) -> None:
-        """Note an error and go on."""
-        self.errors.append(
-            options.OptionsError(str(self.path), section, key, detail)
-        )
