Compare the server's keys with the ownership only when that has changed

Cause, by reading: each tick of 0.1 s compared every grant tried with every range of the service, 130 times 512 at worst, some 13 ms of processor time; and looked each range up among all held. A run's end was taken for a crash by the tracker's newest word, which is the next run's by then. Change: the comparison is made when the ownership read is another one; held ranges are found by their place. A server's run knows itself whether it has said that it leaves.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/keeping.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/keeping.py
@@ -136,6 +136,8 @@
         # What the present run of the server was granted or may have been.
         self.tried: list[Place] = []
         self.tried_run = statuses.NO_SERVER
+        # The ownership that the server's keys were last compared with.
+        self.followed: keyranges.Ownership | None = None
         self.poked = asyncio.Event()
         self.running = tasks.Tasks()
         self.planner = planning.Planner(
@@ -322,9 +324,14 @@
                 if after is not None and await self._write(after):
                     return
             mine = [one for one in mine if one.holder.run == run]
-        self._drop(ownership, mine)
+        if ownership is not self.followed:
+            self.followed = ownership
+            self._drop(ownership, mine)
+        held = {
+            (old.first, old.last, old.token): old for old in self.held.ranges
+        }
         for one in mine:
-            await self._hold(one)
+            await self._hold(one, held.get((one.first, one.last, one.token)))
         await self._settle()
 
     def _drop(
@@ -406,22 +413,17 @@
         finally:
             self.releasing.discard(place)
 
-    async def _hold(self, one: keyranges.Range) -> None:
-        """Grant one range to the server, or renew it, where it is time."""
+    async def _hold(self, one: keyranges.Range, old: keys.Held | None) -> None:
+        """Grant one range to the server, or renew it, where it is time.
+
+        ``old`` is its grant so far, if there is one for just this range.
+        """
         now = self.time.now()
         times = self.settings.times
         learned_at = self.learned.get(one.token, now)
         if not one.released and now < learned_at + times.wait_s:
             return
         hold_s = self.lease.hold_s(now, self.settings.most_hold_s)
-        old = next(
-            (
-                held
-                for held in self.held.ranges
-                if held.covers(one.first, one.last, one.token)
-            ),
-            None,
-        )
         if old is not None and old.until - now > RENEW_BELOW * times.lease_s:
             return
         if hold_s < LEAST_HOLD_S or (
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/keys.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/keys.py
@@ -19,11 +19,6 @@
     token: ids.Token
     until: float
 
-    def covers(self, first: int, last: int, token: ids.Token) -> bool:
-        """Tell whether keys are part of this grant."""
-        inside = self.first <= first and last <= self.last
-        return inside and self.token == token
-
 
 class HeldKeys:
     """The ranges granted now, in order; for the event loop only."""
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/serving.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/serving.py
@@ -43,6 +43,7 @@
         self.said = said
         self.links = links
         self.line = line
+        self.leaves = said.stand is servers.Stand.DRAINING
         # Who waits for a turn, and whose request is at the server.
         self.turns: dict[waiting.Place, asyncio.Future[bool]] = {}
         self.sent: set[waiting.Place] = set()
@@ -91,10 +92,12 @@
         known = self.server
         if known is not None and known.said.run == said.run:
             known.said = said
+            known.leaves |= said.stand is servers.Stand.DRAINING
             return
         if known is not None:
             known.links.close()
-            self._run_ended()
+            if not known.leaves:
+                self.crashes.run_ended()
         self.crashes.new_run()
         links = connections.Connections(
             self.name, said.host, said.port, self.wire, self.time.now
@@ -104,11 +107,11 @@
         )
         self.held.run_changed(said.run)
 
-    def _run_ended(self) -> None:
-        """Suspect what was at the server, unless it has left in good order."""
-        seen = self.tracker.seen
-        if seen is None or seen.drained_at is None:
-            self.crashes.run_ended()
+    def left(self, server_id: str) -> None:
+        """Take in that a server leaves: its end will be no crash."""
+        known = self.server
+        if known is not None and known.said.server_id == server_id:
+            known.leaves = True
 
     def queue(self) -> logs.Queue:
         """Return the server's line as it is now."""
@@ -257,7 +260,8 @@
         )
         ended = answer.reason is verdicts.Reason.SERVER_ENDED
         if ended and not self.tracker.unreachable:
-            self._run_ended()
+            if not server.leaves:
+                self.crashes.run_ended()
             self.tracker.unreachable = True
             self.lost()
 
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -301,6 +301,7 @@
 
     def _hear_leave(self, server_id: str) -> None:
         self.tracker.leave(server_id, self.time.now())
+        self.serving.left(server_id)
         logs.server("leaves", server_id, "")
         self.announcer.tell_soon()
 
