--- /dev/null
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/granted.py
@@ -0,0 +1,56 @@
+"""What the present run of a backend server may have been granted.
+
+A grant that was sent may be in force, whether or not its answer came and
+whether or not the keys may still be used; so this is what has to be released
+once the keys go elsewhere.  ``keeping`` asks it for what to release.
+"""
+
+import typing
+
+from bronzepaddle import ids, keyranges
+from bronzepaddle_peers import statuses
+
+Place: typing.TypeAlias = tuple[int, int, ids.Token]
+"""First and last key of a grant, and its token."""
+
+
+class Granted:
+    """The grants sent to one run; for the event loop only."""
+
+    def __init__(self) -> None:
+        self.run = statuses.NO_SERVER
+        self.places: list[Place] = []
+
+    def note(self, one: keyranges.Range) -> None:
+        """Note that a range is being granted, in place of parts of it."""
+        place = (one.first, one.last, one.token)
+        if place in self.places:
+            return
+        others = [
+            (first, last, token)
+            for first, last, token in self.places
+            if token != one.token or last < one.first or one.last < first
+        ]
+        self.places = [*others, place]
+
+    def run_changed(self, run: str) -> list[Place]:
+        """Start anew for another run; return what the last one had."""
+        if run == self.run:
+            return []
+        ended, self.places = self.places, []
+        self.run = run
+        return ended
+
+    def replaced(self, now: keyranges.Ownership) -> list[Place]:
+        """Return what other grants have replaced, and forget it."""
+        kept: list[Place] = []
+        gone: list[Place] = []
+        for old_first, old_last, token in self.places:
+            for new in now.ranges:
+                first = max(old_first, new.first)
+                last = min(old_last, new.last)
+                if first <= last:
+                    part = kept if new.token == token else gone
+                    part.append((first, last, token))
+        self.places = kept
+        return gone
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/keeping.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/keeping.py
@@ -26,7 +26,7 @@
 from bronzepaddle_peers import statuses
 from bronzepaddle_store import store
 
-from bronzepaddle_node import keys, planning, roster, tasks
+from bronzepaddle_node import granted, keys, planning, roster, tasks
 
 TICK_S: typing.Final = 0.1
 
@@ -40,10 +40,6 @@
 """Share of the longest hold below which a grant is renewed."""
 
 
-Place: typing.TypeAlias = tuple[int, int, ids.Token]
-"""First and last key of a grant, and its token."""
-
-
 @dataclasses.dataclass(frozen=True)
 class Settings:
     """What the keeping of keys is told; times in seconds.
@@ -132,10 +128,8 @@
         # answer yet and are carried out late.
         self.doubt_until = self.started + settings.times.wait_s
         self.freed: list[Freed] = []
-        self.releasing: set[Place] = set()
-        # What the present run of the server was granted or may have been.
-        self.tried: list[Place] = []
-        self.tried_run = statuses.NO_SERVER
+        self.releasing: set[granted.Place] = set()
+        self.granted = granted.Granted()
         # The ownership that the server's keys were last compared with.
         self.followed: keyranges.Ownership | None = None
         self.poked = asyncio.Event()
@@ -315,7 +309,8 @@
         run = self.held.run
         if not run:
             return
-        self._note_run(run)
+        for place in self.granted.run_changed(run):
+            self._free(place, "")
         mine = ownership.owned_by(self.settings.name)
         if any(one.holder.run != run for one in mine):
             if self.tracker.ready(now):
@@ -350,37 +345,12 @@
         if kept != before:
             self.held.set(kept)
             self.changed()
-        still: list[Place] = []
-        for old_first, old_last, token in self.tried:
-            for new in ownership.ranges:
-                first = max(old_first, new.first)
-                last = min(old_last, new.last)
-                if first > last:
-                    continue
-                place = (first, last, token)
-                if new.token == token:
-                    still.append(place)
-                else:
-                    self._release_replaced(place)
-        self.tried = still
-
-    def _release_replaced(self, place: Place) -> None:
-        """Release keys of an earlier grant that a new one has replaced."""
-        if place in self.releasing:
-            return
-        self.releasing.add(place)
-        self.running.start(self._release(place), "release")
+        for place in self.granted.replaced(ownership):
+            if place not in self.releasing:
+                self.releasing.add(place)
+                self.running.start(self._release(place), "release")
 
-    def _note_run(self, run: str) -> None:
-        """Free what an earlier run of the server was granted: it ended."""
-        if run == self.tried_run:
-            return
-        for place in self.tried:
-            self._free(place, "")
-        self.tried = []
-        self.tried_run = run
-
-    def _free(self, place: Place, handover: str) -> None:
+    def _free(self, place: granted.Place, handover: str) -> None:
         """Have the next write say that an earlier grant is over.
 
         Unless a grant without an answer may be carried out yet.
@@ -392,7 +362,7 @@
         self.freed.append(Freed(first, last, token, handover, until))
         self.poked.set()
 
-    async def _release(self, place: Place) -> None:
+    async def _release(self, place: granted.Place) -> None:
         """Take keys back from the server and let the next owner know."""
         first, last, token = place
         try:
@@ -441,7 +411,7 @@
             one.first, one.last, one.token, hold_s, one.handover
         )
         sent_at = self.time.now()
-        self._note_tried(one)
+        self.granted.note(one)
         try:
             outcome = await orders.grant(given)
         except connections.OrderNotSentError as error:
@@ -461,18 +431,6 @@
         if run == self.held.run and self._still_ours(one):
             self._note_held(one, sent_at + hold_s)
 
-    def _note_tried(self, one: keyranges.Range) -> None:
-        place = (one.first, one.last, one.token)
-        if place not in self.tried:
-            others = [
-                old
-                for old in self.tried
-                if old[2] != one.token
-                or old[1] < one.first
-                or one.last < old[0]
-            ]
-            self.tried = [*others, place]
-
     def _still_ours(self, one: keyranges.Range) -> bool:
         """Tell whether the object still gives a range to us."""
         if self.read is None or self.read.ownership is None:
--- /dev/null
+++ b/tests/test_granted.py
@@ -0,0 +1,53 @@
+"""What has to be released of the grants that were sent to a server."""
+
+import typing
+
+import test_keyranges
+from bronzepaddle import ids, keyranges
+from bronzepaddle_node import granted
+
+A: typing.Final = test_keyranges.A
+B: typing.Final = test_keyranges.B
+
+
+def after_moves(*moves: keyranges.Move) -> keyranges.Ownership:
+    found = keyranges.moved(test_keyranges.whole(A), moves)
+    assert found is not None
+    return found
+
+
+def all_granted(now: keyranges.Ownership) -> granted.Granted:
+    found = granted.Granted()
+    found.run_changed(A.run)
+    for one in now.owned_by(A.member):
+        found.note(one)
+    return found
+
+
+def test_only_the_part_that_went_elsewhere_is_released_once() -> None:
+    found = all_granted(test_keyranges.whole(A))
+    token = found.places[0][2]
+    now = after_moves(keyranges.Move(100, 199, B))
+    assert found.replaced(now) == [(100, 199, token)]
+    assert found.replaced(now) == []
+    assert found.places == [
+        (0, 99, token),
+        (200, keyranges.LAST_KEY, token),
+    ]
+
+
+def test_grant_of_a_larger_range_takes_the_place_of_its_parts() -> None:
+    token = ids.Token(7)
+    found = granted.Granted()
+    for first in (0, 16):
+        found.note(keyranges.Range(first, first + 15, A, token, True))
+    found.note(keyranges.Range(0, 31, A, token, True))
+    assert found.places == [(0, 31, token)]
+
+
+def test_grants_of_a_run_that_has_ended_are_all_over() -> None:
+    found = all_granted(test_keyranges.whole(A))
+    places = list(found.places)
+    assert found.run_changed(A.run) == []
+    assert found.run_changed("next") == places
+    assert found.places == []
