Even keys out only while every member reads the ownership by itself

A member that can't read goes on by its peers' reads of the version that it knows; now that busy keys move each 0.9 s, the version changes under it, and its lease ends. Change: statuses tell already which of ours a peer's last read came after; busy keys stay while a live member has not read for 2.5 s by that. Keys of the lost and for those that join move as before.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/keeping.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/keeping.py
@@ -122,6 +122,8 @@
         self.read_at = float("-inf")
         self.read_after: statuses.ReadAfter | None = None
         self.sent_at: dict[int, float] = {}
+        # When a peer has read the object at the earliest, by its last word.
+        self.peers_read_at: dict[ids.MemberId, float] = {}
         self.started = time.now()
         self.learned: dict[ids.Token, float] = {}
         # An earlier run of this process may have sent grants that have no
@@ -253,16 +255,20 @@
         """Take in what a peer has read of the object in the store."""
         if status.ownership_version > self.version:
             self.poke()
-        read = status.read
-        if read is None or read.version != self.version:
+        sent_at = self._read_after(status.read)
+        if status.read is None or sent_at is None:
             return
-        for one in read.heard:
-            mine = (self.settings.name, self.settings.incarnation)
-            if (one.member, one.incarnation) != mine:
-                continue
-            sent_at = self.sent_at.get(one.sequence)
-            if sent_at is not None:
-                self.lease.renew(sent_at)
+        self.peers_read_at[status.sender] = sent_at
+        if status.read.version == self.version:
+            self.lease.renew(sent_at)
+
+    def _read_after(self, read: statuses.ReadAfter | None) -> float | None:
+        """Return when we sent the status that a peer's read came after."""
+        mine = (self.settings.name, self.settings.incarnation)
+        for one in () if read is None else read.heard:
+            if (one.member, one.incarnation) == mine:
+                return self.sent_at.get(one.sequence)
+        return None
 
     def _adopt(self, read: Read, sent_at: float) -> None:
         """Take a read in: every range of ours is a claim from now on."""
@@ -486,7 +492,7 @@
         now = self.time.now()
         if not self.lease.holds(now):
             return
-        after = self.planner.next(ownership, now)
+        after = self.planner.next(ownership, now, self.peers_read_at)
         if after is not None and await self._write(after):
             self.planner.written(after, now)
 
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/planning.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/planning.py
@@ -25,6 +25,11 @@
 must have followed the last one."""
 
 
+READ_S: typing.Final = 2.5
+"""Time since a member's last read, as far as known, within which it is taken
+to reach the store: a pause between reads, and that of a status or two."""
+
+
 class Planner:
     """The planning of one member; for the event loop only."""
 
@@ -45,15 +50,24 @@
         self.ranges_moved = 0
 
     def next(
-        self, ownership: keyranges.Ownership | None, now: float
+        self,
+        ownership: keyranges.Ownership | None,
+        now: float,
+        read_at: collections.abc.Mapping[ids.MemberId, float],
     ) -> keyranges.Ownership | None:
-        """Return what should be written next, None to leave it."""
+        """Return what should be written next, None to leave it.
+
+        ``read_at`` says since when each other member is known to have read
+        the object at the latest.
+        """
         early = now - self.started < FIRST_PLAN_S
         if early and (ownership is not None or self.first_start):
             return None
         if not self._is_first(now):
             return None
-        even_out = now - self.planned_at >= EVEN_OUT_EVERY_S
+        even_out = now - self.planned_at >= EVEN_OUT_EVERY_S and (
+            self._all_read(now, read_at)
+        )
         return keyplan.plan(
             ownership, self.service, list(self._standings(now, even_out))
         )
@@ -73,6 +87,23 @@
         ]
         return not alive or min(alive) == self.name
 
+    def _all_read(
+        self,
+        now: float,
+        read_at: collections.abc.Mapping[ids.MemberId, float],
+    ) -> bool:
+        """Tell whether every live member reads the object by itself.
+
+        One that can't reach the store goes on by its peers' reads of the
+        version that it knows; a new version, just to even out, would end
+        its lease.
+        """
+        return all(
+            now - read_at.get(peer.status.sender, float("-inf")) < READ_S
+            for peer in self.roster.of_service(self.service)
+            if self.roster.alive(peer, now) and peer.status.sender != self.name
+        )
+
     def _standings(
         self, now: float, even_out: bool
     ) -> collections.abc.Iterator[keyplan.Standing]:
--- /dev/null
+++ b/tests/test_planning.py
@@ -0,0 +1,64 @@
+"""When keys are evened out between the members of a service."""
+
+import typing
+
+import pytest
+import test_keyranges
+from bronzepaddle import cells, heat, ids, keyranges
+from bronzepaddle_node import planning, roster
+from bronzepaddle_peers import statuses
+
+NOW: typing.Final = 100.0
+HALVES: typing.Final = keyranges.moved(
+    test_keyranges.whole(test_keyranges.A),
+    [keyranges.Move(32_768, keyranges.LAST_KEY, test_keyranges.B)],
+)
+
+
+def status(
+    holder: keyranges.Holder, rate: float, *hot: heat.Hot
+) -> statuses.Status:
+    return statuses.Status(
+        sender=holder.member,
+        incarnation=ids.Incarnation("1"),
+        started_ms=1,
+        sequence=1,
+        address=cells.Address("h", 1),
+        zone=ids.ZoneName("z"),
+        leaving=False,
+        service=test_keyranges.SERVICE,
+        run=holder.run,
+        state=statuses.ServerState.READY,
+        slots=10,
+        outstanding=0,
+        service_s=0.1,
+        cold_s=0.0,
+        table_version=ids.BundleVersion(1),
+        ownership_version=ids.ObjectVersion(1),
+        held=(),
+        asked_rate=rate,
+        hot=hot,
+    )
+
+
+def planned(read_ago_s: float | None) -> keyranges.Ownership | None:
+    """Return the plan of a busy member whose peer has read so long ago."""
+    a, b = test_keyranges.A, test_keyranges.B
+    known = roster.Roster(a.member, ids.ZoneName("z"))
+    known.learn(status(a, 100.0, heat.Hot(160, 175, 30.0)), NOW)
+    known.learn(status(b, 10.0), NOW)
+    planner = planning.Planner(
+        a.member, test_keyranges.SERVICE, False, known, 0.0
+    )
+    read_at = {} if read_ago_s is None else {b.member: NOW - read_ago_s}
+    return planner.next(HALVES, NOW, read_at)
+
+
+@pytest.mark.parametrize(
+    ("read_ago_s", "evens_out"),
+    [(0.5, True), (1.9, True), (4.0, False), (None, False)],
+)
+def test_busy_keys_stay_while_a_member_can_not_read_of_moves(
+    read_ago_s: float | None, evens_out: bool
+) -> None:
+    assert (planned(read_ago_s) is not None) == evens_out
