Give keys to members that read of it, and let one of them plan

From 18 to 23.5 s the first member by name could not reach the store: nobody planned while two servers left, 240 requests a second had no owner. Ruled out: the leases (they ran out as they must), the statuses (they arrived). Change: a member that is not known to have read the object within 2.5 s gets no keys and is not the first of those that plan; two may plan for a while, one write is done. Before the object exists nobody has read it, so the first plan asks for none of this. Tests: test_planning.py, one of the new cases for each.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/planning.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/planning.py
@@ -63,53 +63,70 @@
         early = now - self.started < FIRST_PLAN_S
         if early and (ownership is not None or self.first_start):
             return None
-        if not self._is_first(now):
+        readers = self._members(now)
+        if ownership is not None:
+            # Before there is an object, nobody is known to have read it.
+            readers = {
+                member
+                for member in readers
+                if member == self.name
+                or now - read_at.get(member, float("-inf")) < READ_S
+            }
+        if not self._is_first(now, readers):
             return None
-        even_out = now - self.planned_at >= EVEN_OUT_EVERY_S and (
-            self._all_read(now, read_at)
+        even_out = (
+            now - self.planned_at >= EVEN_OUT_EVERY_S
+            and readers == self._members(now)
         )
         return keyplan.plan(
-            ownership, self.service, list(self._standings(now, even_out))
+            ownership,
+            self.service,
+            list(self._standings(now, readers, even_out)),
         )
 
+    def _members(self, now: float) -> set[ids.MemberId]:
+        """Return the live members of the service."""
+        return {
+            peer.status.sender
+            for peer in self.roster.of_service(self.service)
+            if self.roster.alive(peer, now)
+        }
+
     def written(self, after: keyranges.Ownership, now: float) -> None:
         """Note that a plan was written."""
         self.planned_at = now
         self.ranges_moved += sum(not one.released for one in after.ranges)
         logs.planned(self.service, after)
 
-    def _is_first(self, now: float) -> bool:
-        """Tell whether this is the first live member by name."""
-        alive = [
+    def _is_first(
+        self, now: float, readers: collections.abc.Container[ids.MemberId]
+    ) -> bool:
+        """Tell whether this is the first by name that can plan.
+
+        Two may think so for a while; only one of their writes is done.
+        """
+        able = [
             peer.status.sender
             for peer in self.roster.of_service(self.service)
-            if self.roster.alive(peer, now) and not peer.status.leaving
+            if peer.status.sender in readers and not peer.status.leaving
         ]
-        return not alive or min(alive) == self.name
+        return not able or min(able) == self.name
 
-    def _all_read(
+    def _standings(
         self,
         now: float,
-        read_at: collections.abc.Mapping[ids.MemberId, float],
-    ) -> bool:
-        """Tell whether every live member reads the object by itself.
+        readers: collections.abc.Container[ids.MemberId],
+        even_out: bool,
+    ) -> collections.abc.Iterator[keyplan.Standing]:
+        """Yield how members stand.
 
-        One that can't reach the store goes on by its peers' reads of the
-        version that it knows; a new version, just to even out, would end
-        its lease.
+        One that can't read the object keeps what it has, by its peers' reads
+        of the version that it knows; it gets nothing, since it would not
+        learn of it, and no new version is written only to even out.
         """
-        return all(
-            now - read_at.get(peer.status.sender, float("-inf")) < READ_S
-            for peer in self.roster.of_service(self.service)
-            if self.roster.alive(peer, now) and peer.status.sender != self.name
-        )
-
-    def _standings(
-        self, now: float, even_out: bool
-    ) -> collections.abc.Iterator[keyplan.Standing]:
         for peer in self.roster.of_service(self.service):
             status = peer.status
-            alive = self.roster.alive(peer, now)
+            reads = status.sender in readers
             ready = status.state is statuses.ServerState.READY
             silent_s = (
                 0.0 if status.sender == self.name else now - peer.heard_at
@@ -120,7 +137,7 @@
             each = status.service_s / max(1, status.slots)
             yield keyplan.Standing(
                 keyranges.Holder(status.sender, status.run),
-                usable=alive and ready and not status.leaving,
+                usable=reads and ready and not status.leaving,
                 lost=silent_s > LOST_S or server_gone or status.leaving,
                 demand=status.asked_rate * each,
                 each=each,
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -62,3 +62,36 @@
     read_ago_s: float | None, evens_out: bool
 ) -> None:
     assert (planned(read_ago_s) is not None) == evens_out
+
+
+def test_member_that_can_not_read_gets_no_keys_and_does_not_plan() -> None:
+    """Let c be lost while a can't reach the store: b plans, for itself."""
+    a, b = test_keyranges.A, test_keyranges.B
+    c = keyranges.Holder(ids.MemberId("c"), "c-1")
+    ownership = keyranges.dealt(test_keyranges.SERVICE, [a, b, c], 63)
+    known = roster.Roster(b.member, ids.ZoneName("z"))
+    for holder in (a, b):
+        known.learn(status(holder, 1.0), NOW)
+    planner = planning.Planner(
+        b.member, test_keyranges.SERVICE, False, known, 0.0
+    )
+    found = planner.next(ownership, NOW, {a.member: NOW - 5.0})
+    assert found is not None
+    before, after = map(test_keyranges.sizes, (ownership, found))
+    assert after["a"] == before["a"]
+    assert after["b"] == before["b"] + before["c"]
+    # Once a reads again, it is the first by name: b leaves it to a.
+    assert planner.next(ownership, NOW, {a.member: NOW - 0.5}) is None
+
+
+def test_first_plan_needs_no_reads() -> None:
+    a, b = test_keyranges.A, test_keyranges.B
+    known = roster.Roster(a.member, ids.ZoneName("z"))
+    for holder in (a, b):
+        known.learn(status(holder, 0.0), NOW)
+    planner = planning.Planner(
+        a.member, test_keyranges.SERVICE, True, known, 0.0
+    )
+    found = planner.next(None, NOW, {})
+    assert found is not None
+    assert found.members() == {a.member, b.member}
