--- a/tests/test_sidecar_options.py
+++ b/tests/test_sidecar_options.py
@@ -9,7 +9,9 @@
 from bronzepaddle import sidecar_options
 from bronzepaddle_node import reloading
 
-TEMPLATE: typing.Final = pathlib.Path("deploy/sidecar.ini")
+TEMPLATE: typing.Final = (
+    pathlib.Path(__file__).parent.parent / "deploy" / "sidecar.ini"
+)
 
 GOOD: typing.Final = """
 [process]
