Begin nothing that a stop would break off; wait for nobody's reads after an outage

Change: a process refuses, as not run, what takes longer than the time to its end by three times its mean; for 2.5 s after its own lease is back a planner takes nobody for unable to read. Tests: test_process_about_to_end_begins_nothing and test_after_an_outage_for_all_nobody_is_waited_for; both fail without it.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/keeping.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/keeping.py
@@ -144,6 +144,7 @@
             self.started,
         )
         self.lease_held = False
+        self.lease_since = float("-inf")
         # The time for which keys that are ours were not held by the server,
         # times their share of all keys, and up to when that is counted.
         self.unheld_s = 0.0
@@ -199,6 +200,7 @@
         held = self.lease.holds(now)
         if held != self.lease_held:
             self.lease_held = held
+            self.lease_since = now
             logs.lease(held, self.lease.left_s(now), self.version)
 
     def _count_unheld(self, now: float) -> None:
@@ -492,7 +494,9 @@
         now = self.time.now()
         if not self.lease.holds(now):
             return
-        after = self.planner.next(ownership, now, self.peers_read_at)
+        after = self.planner.next(
+            ownership, now, self.peers_read_at, self.lease_since
+        )
         if after is not None and await self._write(after):
             self.planner.written(after, now)
 
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/planning.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/planning.py
@@ -54,17 +54,19 @@
         ownership: keyranges.Ownership | None,
         now: float,
         read_at: collections.abc.Mapping[ids.MemberId, float],
+        lease_since: float,
     ) -> keyranges.Ownership | None:
         """Return what should be written next, None to leave it.
 
-        ``read_at`` says since when each other member is known to have read
-        the object at the latest.
+        ``read_at`` says when each other member has read the object, as far
+        as known, ``lease_since`` since when this one's lease holds: after an
+        outage for all, what the others read is heard of a little later.
         """
         early = now - self.started < FIRST_PLAN_S
         if early and (ownership is not None or self.first_start):
             return None
         readers = self._members(now)
-        if ownership is not None:
+        if ownership is not None and now - lease_since >= READ_S:
             # Before there is an object, nobody is known to have read it.
             readers = {
                 member
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/serving.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/serving.py
@@ -28,6 +28,10 @@
 DRAIN_START_S: typing.Final = 1.0
 """Time after a server's leaving for which admitted requests still start."""
 
+END_SPREAD: typing.Final = 3.0
+"""Multiple of its mean time that a request must have before the process
+ends, else it is not begun."""
+
 MOVING_RETRY_S: typing.Final = 0.1
 
 
@@ -85,6 +89,8 @@
         self.time = time
         self.server: Server | None = None
         self.in_flight = 0
+        # When this process ends, whatever still runs.
+        self.ends_at = float("inf")
         self.heat = heat.Heat(time.now())
 
     def announced(self, said: servers.Announcement) -> None:
@@ -152,6 +158,8 @@
         if ask.key >= 0:
             self.heat.note(ask.key)
         now = self.time.now()
+        if now + END_SPREAD * server.line.mean_s(ask.route) > self.ends_at:
+            return self._refuse(verdicts.Reason.DRAINING, MOVING_RETRY_S)
         deadline = now + ask.time_left_s
         placed = server.line.ask(_work(ask), now)
         match placed:
--- a/tests/integration/test_sidecar.py
+++ b/tests/integration/test_sidecar.py
@@ -300,6 +300,22 @@
     assert b"bronzepaddle_requests_total{" in page.data
 
 
+def test_process_about_to_end_begins_nothing(fleet: Fleet) -> None:
+    """Nothing is sent to a server that this process could not wait for."""
+    one, two = fleet.sidecars["one"], fleet.sidecars["two"]
+    seen = {name: len(fleet.servers[name].seen) for name in ("one", "two")}
+    for process in (one, two):
+        process.serving.ends_at = process.time.now() + 0.001
+    answer = fleet.send("three", "/keyed/a", 5)
+    for process in (one, two):
+        process.serving.ends_at = float("inf")
+    assert answer.status == 503
+    assert answer.headers["Retry-After"]
+    assert seen == {
+        name: len(fleet.servers[name].seen) for name in ("one", "two")
+    }
+
+
 def test_leaving_server_gets_no_more_and_hands_its_keys_over(
     fleet: Fleet,
 ) -> None:
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -2,6 +2,7 @@
 
 import typing
 
+import msgspec
 import pytest
 import test_keyranges
 from bronzepaddle import cells, heat, ids, keyranges
@@ -51,7 +52,7 @@
         a.member, test_keyranges.SERVICE, False, known, 0.0
     )
     read_at = {} if read_ago_s is None else {b.member: NOW - read_ago_s}
-    return planner.next(HALVES, NOW, read_at)
+    return planner.next(HALVES, NOW, read_at, 0.0)
 
 
 @pytest.mark.parametrize(
@@ -75,13 +76,13 @@
     planner = planning.Planner(
         b.member, test_keyranges.SERVICE, False, known, 0.0
     )
-    found = planner.next(ownership, NOW, {a.member: NOW - 5.0})
+    found = planner.next(ownership, NOW, {a.member: NOW - 5.0}, 0.0)
     assert found is not None
     before, after = map(test_keyranges.sizes, (ownership, found))
     assert after["a"] == before["a"]
     assert after["b"] == before["b"] + before["c"]
     # Once a reads again, it is the first by name: b leaves it to a.
-    assert planner.next(ownership, NOW, {a.member: NOW - 0.5}) is None
+    assert planner.next(ownership, NOW, {a.member: NOW - 0.5}, 0.0) is None
 
 
 def test_first_plan_needs_no_reads() -> None:
@@ -92,6 +93,24 @@
     planner = planning.Planner(
         a.member, test_keyranges.SERVICE, True, known, 0.0
     )
-    found = planner.next(None, NOW, {})
+    found = planner.next(None, NOW, {}, 0.0)
     assert found is not None
     assert found.members() == {a.member, b.member}
+
+
+def test_after_an_outage_for_all_nobody_is_waited_for() -> None:
+    """Let keys of a leaving member go as soon as the store is back."""
+    a, b = test_keyranges.A, test_keyranges.B
+    known = roster.Roster(a.member, ids.ZoneName("z"))
+    known.learn(status(a, 1.0), NOW)
+    known.learn(msgspec.structs.replace(status(b, 1.0), leaving=True), NOW)
+    c = keyranges.Holder(ids.MemberId("c"), "c-1")
+    known.learn(status(c, 1.0), NOW)
+    planner = planning.Planner(
+        a.member, test_keyranges.SERVICE, False, known, 0.0
+    )
+    long_ago = {b.member: NOW - 9.0, c.member: NOW - 9.0}
+    found = planner.next(HALVES, NOW, long_ago, NOW - 0.1)
+    assert found is not None
+    assert "b" not in found.members()
+    assert "c" in found.members()
