Make the test of explanations rest on gates, not on how fast all is

Change: the stand-in's servers hold requests until a gate is opened, and the first requests need both servers.

--- a/tests/integration/platform_standins.py
+++ b/tests/integration/platform_standins.py
@@ -11,6 +11,9 @@
 
 THREADS: typing.Final = 24
 
+GATE_S: typing.Final = 120.0
+"""Bound on the wait at a closed gate, to end a hung test."""
+
 
 class _Served:
     """An HTTP server on a free port."""
@@ -160,6 +163,9 @@
         self.seen: list[dict[str, typing.Any]] = []
         self.slow = threading.Event()
         self.begun = threading.Event()
+        # Requests that have begun go on only while this is set.
+        self.gate = threading.Event()
+        self.gate.set()
         self.http_out = urllib3.PoolManager(retries=False, timeout=5.0)
         super().__init__()
 
@@ -223,6 +229,7 @@
         if key is not None and not self.holds(int(key)):
             return _answer(start, 421, b"", [("Not-Executed", "1")])
         self.begun.set()
+        self.gate.wait(GATE_S)
         if self.slow.is_set():
             time.sleep(1.0)
         said = {
--- a/tests/integration/test_explaining.py
+++ b/tests/integration/test_explaining.py
@@ -196,35 +196,60 @@
 
 
 def test_three_failures_are_explained_by_their_ids(fleet: Fleet) -> None:
-    for server in fleet.servers.values():
-        server.slow.set()
+    """Close the servers' gates, so that nothing rests on how fast all is."""
+    servers = fleet.servers.values()
+
+    def close_gates() -> None:
+        for server in servers:
+            server.gate.clear()
+
+    def open_gates() -> None:
+        for server in servers:
+            server.gate.set()
 
-    late = fleet.send("three", "/plain/late", "r-late", deadline_ms=300)
+    close_gates()
+    late = fleet.send("three", "/plain/late", "r-late", deadline_ms=1500)
     assert late.status == 504
     story = fleet.explained("r-late")
     assert "answered 504" in story
     assert "deadline - The deadline passed" in story
     assert "sent to " in story
+    open_gates()
 
-    # The processes learn from these how long such requests take.
-    concurrent.futures.wait(fleet.many(8, "/quick/a", "first").values())
+    # Both servers are needed for these, so both processes learn from them
+    # how long such requests take.
+    for server in servers:
+        server.slow.set()
+    concurrent.futures.wait(fleet.many(24, "/quick/a", "first").values())
+    close_gates()
     flood = fleet.many(60, "/quick/a", "flood")
-    refused = next(
-        request_id
-        for request_id, answer in flood.items()
-        if answer.result().status == 503
-    )
-    story = fleet.explained(refused)
+
+    def refused_one() -> str:
+        return next(
+            (
+                request_id
+                for request_id, answer in flood.items()
+                if answer.done() and answer.result().status == 503
+            ),
+            "",
+        )
+
+    fleet.until(lambda: bool(refused_one()), "a refusal")
+    story = fleet.explained(refused_one())
     assert "answered 503" in story
     assert "too-late - The request can't be served in time" in story
     assert "9 of 9 slots in use" in story
     assert "to come back after" in story
+    open_gates()
     concurrent.futures.wait(flood.values())
 
+    close_gates()
     fleet.servers["four"].begun.clear()
-    lost = fleet.many(8, "/once/a", "lost")
+    lost = fleet.many(12, "/once/a", "lost")
     fleet.until(fleet.servers["four"].begun.is_set, "one at the other server")
     fleet.processes["four"].kill()
+    fleet.processes["four"].wait()
+    open_gates()
     failed = next(
         request_id
         for request_id, answer in lost.items()
