--- /dev/null
+++ b/tests/support/fake_servers.py
@@ -0,0 +1,118 @@
+"""Fake backend servers that hold keys, and the orders to them.
+
+Grants take effect now, late or never, as ``keepers`` says at the moment.
+"""
+
+import asyncio
+import dataclasses
+import typing
+
+from bronzepaddle import ids
+from bronzepaddle_backend import connections, granting
+
+if typing.TYPE_CHECKING:
+    from support import keepers
+
+SERVER_RATES: typing.Final = (0.98, 0.99, 1.0)
+
+
+@dataclasses.dataclass
+class HeldNow:
+    """Keys that a server holds, until a moment of true time."""
+
+    first: int
+    last: int
+    token: int
+    until: float
+
+
+class FakeServer:
+    """One run of a backend server; its clock may be slow."""
+
+    def __init__(self, around: "keepers.Keepers", name: str, run: str) -> None:
+        self.around = around
+        self.name = name
+        self.run = run
+        self.rate = around.draw.choice(SERVER_RATES)
+        self.up = True
+        self.draining = False
+        self.held: list[HeldNow] = []
+        self.highest: list[HeldNow] = []
+
+    def take(self, given: granting.KeyGrant, arrived: float) -> bool:
+        """Take a grant; its time counts from its arrival."""
+        overlaps = [
+            one
+            for one in self.highest
+            if one.first <= given.last and given.first <= one.last
+        ]
+        if any(one.token > given.token for one in overlaps):
+            return False
+        until = arrived + given.hold_s / self.rate
+        fresh = HeldNow(given.first, given.last, given.token, until)
+        self.drop(given.first, given.last)
+        self.held.append(fresh)
+        self.highest.append(fresh)
+        self.around.check()
+        return True
+
+    def drop(self, first: int, last: int) -> None:
+        """Hold keys no longer."""
+        kept = []
+        for one in self.held:
+            if one.last < first or last < one.first:
+                kept.append(one)
+                continue
+            if one.first < first:
+                kept.append(dataclasses.replace(one, last=first - 1))
+            if last < one.last:
+                kept.append(dataclasses.replace(one, first=last + 1))
+        self.held = kept
+
+    def holding(self, now: float) -> list[HeldNow]:
+        """Return what the server holds now."""
+        if not self.up:
+            return []
+        return [one for one in self.held if now < one.until]
+
+
+class FakeOrders:
+    """The orders to one run of a server, with the faults of the moment."""
+
+    def __init__(self, server: FakeServer) -> None:
+        self.server = server
+
+    async def grant(self, given: granting.KeyGrant) -> granting.Outcome:
+        """Grant keys: now, late, or never."""
+        around, server = self.server.around, self.server
+        arrived = around.loop.time()
+        if int(given.hold_s * 1000) < 1:
+            around.violations.append(f"a grant for no time: {given}")
+        await self._reach()
+        if around.orders_late and around.draw.random() < around.late_share:
+            late_s = around.draw.uniform(*around.late_s)
+            around.loop.call_later(late_s, self._late, given, arrived)
+            raise connections.OrderLostError("no answer")
+        done = server.take(given, arrived)
+        return granting.Outcome(done, "", "")
+
+    def _late(self, given: granting.KeyGrant, arrived: float) -> None:
+        if self.server.up:
+            self.server.take(given, arrived)
+
+    async def release(
+        self, first: int, last: int, token: ids.Token
+    ) -> granting.Outcome:
+        """Take keys back, after the work on them."""
+        await self._reach()
+        around = self.server.around
+        self.server.drop(first, last)
+        if around.orders_late and around.draw.random() < 0.3:
+            raise connections.OrderLostError("no answer")
+        await asyncio.sleep(around.draw.uniform(0.0, 0.4))
+        return granting.Outcome(True, "handover", "")
+
+    async def _reach(self) -> None:
+        await asyncio.sleep(0.0005)
+        if not self.server.up:
+            raise connections.OrderNotSentError("refused", True)
--- a/tests/support/keepers.py
+++ b/tests/support/keepers.py
@@ -9,25 +9,23 @@
 import asyncio
 import collections.abc
 import contextlib
-import dataclasses
 import itertools
 import random
 import typing
 
 import msgspec
 from bronzepaddle import cells, ids, keyranges, routes, storeleases
-from bronzepaddle_backend import connections, granting, servers
+from bronzepaddle_backend import granting, servers
 from bronzepaddle_node import keeping, keys, roster, tasks
 from bronzepaddle_peers import statuses
 
-from support import turned, world
+from support import fake_servers, turned, world
 
 MEMBERS: typing.Final = ("a", "b", "c", "d")
 SERVICE: typing.Final = ids.ServiceName("lots")
 STATUS_S: typing.Final = 0.5
 ANNOUNCE_S: typing.Final = 0.87
 MOST_HOLD_S: typing.Final = 10.0
-SERVER_RATES: typing.Final = (0.98, 0.99, 1.0)
 MEMBER_RATES: typing.Final = (0.995, 1.0, 1.005)
 PAUSES_S: typing.Final = (0.05, 0.4, 1.0, 1.7, 2.0, 2.3, 3.3, 4.0)
 SETTLE_S: typing.Final = 60.0
@@ -40,108 +38,6 @@
 )
 
 
-@dataclasses.dataclass
-class HeldNow:
-    """Keys that a server holds, until a moment of true time."""
-
-    first: int
-    last: int
-    token: int
-    until: float
-
-
-class FakeServer:
-    """One run of a backend server; its clock may be slow."""
-
-    def __init__(self, around: "Keepers", name: str, run: str) -> None:
-        self.around = around
-        self.name = name
-        self.run = run
-        self.rate = around.draw.choice(SERVER_RATES)
-        self.up = True
-        self.draining = False
-        self.held: list[HeldNow] = []
-        self.highest: list[HeldNow] = []
-
-    def take(self, given: granting.KeyGrant, arrived: float) -> bool:
-        """Take a grant; its time counts from its arrival."""
-        overlaps = [
-            one
-            for one in self.highest
-            if one.first <= given.last and given.first <= one.last
-        ]
-        if any(one.token > given.token for one in overlaps):
-            return False
-        until = arrived + given.hold_s / self.rate
-        fresh = HeldNow(given.first, given.last, given.token, until)
-        self.drop(given.first, given.last)
-        self.held.append(fresh)
-        self.highest.append(fresh)
-        self.around.check()
-        return True
-
-    def drop(self, first: int, last: int) -> None:
-        """Hold keys no longer."""
-        kept = []
-        for one in self.held:
-            if one.last < first or last < one.first:
-                kept.append(one)
-                continue
-            if one.first < first:
-                kept.append(dataclasses.replace(one, last=first - 1))
-            if last < one.last:
-                kept.append(dataclasses.replace(one, first=last + 1))
-        self.held = kept
-
-    def holding(self, now: float) -> list[HeldNow]:
-        """Return what the server holds now."""
-        if not self.up:
-            return []
-        return [one for one in self.held if now < one.until]
-
-
-class FakeOrders:
-    """The orders to one run of a server, with the faults of the moment."""
-
-    def __init__(self, server: FakeServer) -> None:
-        self.server = server
-
-    async def grant(self, given: granting.KeyGrant) -> granting.Outcome:
-        """Grant keys: now, late, or never."""
-        around, server = self.server.around, self.server
-        arrived = around.loop.time()
-        if int(given.hold_s * 1000) < 1:
-            around.violations.append(f"a grant for no time: {given}")
-        await self._reach()
-        if around.orders_late and around.draw.random() < around.late_share:
-            late_s = around.draw.uniform(*around.late_s)
-            around.loop.call_later(late_s, self._late, given, arrived)
-            raise connections.OrderLostError("no answer")
-        done = server.take(given, arrived)
-        return granting.Outcome(done, "", "")
-
-    def _late(self, given: granting.KeyGrant, arrived: float) -> None:
-        if self.server.up:
-            self.server.take(given, arrived)
-
-    async def release(
-        self, first: int, last: int, token: ids.Token
-    ) -> granting.Outcome:
-        """Take keys back, after the work on them."""
-        await self._reach()
-        around = self.server.around
-        self.server.drop(first, last)
-        if around.orders_late and around.draw.random() < 0.3:
-            raise connections.OrderLostError("no answer")
-        await asyncio.sleep(around.draw.uniform(0.0, 0.4))
-        return granting.Outcome(True, "handover", "")
-
-    async def _reach(self) -> None:
-        await asyncio.sleep(0.0005)
-        if not self.server.up:
-            raise connections.OrderNotSentError("refused", True)
-
-
 class Process:
     """One run of a member's process."""
 
@@ -179,13 +75,17 @@
         self.tasks.start(self._tell(), "statuses")
 
     @property
-    def server(self) -> FakeServer:
+    def server(self) -> fake_servers.FakeServer:
         """Return the server beside this process."""
         return self.around.servers[self.name]
 
     def _orders(self) -> granting.Orders | None:
         server = self.server
-        return FakeOrders(server) if server.run == self.held.run else None
+        return (
+            fake_servers.FakeOrders(server)
+            if server.run == self.held.run
+            else None
+        )
 
     async def _announce(self) -> None:
         while True:
@@ -194,7 +94,7 @@
                 self.hear_server(server)
             await self.time.sleep(ANNOUNCE_S)
 
-    def hear_server(self, server: FakeServer) -> None:
+    def hear_server(self, server: fake_servers.FakeServer) -> None:
         """Take an announcement of the server in."""
         self.sequence += 1
         server_id, _, born_ms = server.run.partition("@")
@@ -268,7 +168,7 @@
         self.loop = loop
         self.draw = random.Random(seed)
         self.objects = world.FakeObjects()
-        self.servers: dict[str, FakeServer] = {}
+        self.servers: dict[str, fake_servers.FakeServer] = {}
         self.processes: dict[str, Process] = {}
         self.muted: set[str] = set()
         self.delays_s: dict[str, float] = {}
@@ -284,7 +184,9 @@
         self.births += 1
         if name in self.servers:
             self.servers[name].up = False
-        self.servers[name] = FakeServer(self, name, f"i-{name}@{self.births}")
+        self.servers[name] = fake_servers.FakeServer(
+            self, name, f"i-{name}@{self.births}"
+        )
 
     def start(self, name: str) -> None:
         """Start a process."""
