Log what heartbeats cost a process, how late it is, and the age of the store's word

Now a line every 2 s and five metrics: lateness of the event loop, statuses sent, received and missed with their bytes, callers' connections without a thread, and the age of the store's last word on the configuration. No logic changes.

--- a/bench/logcost.py
+++ b/bench/logcost.py
@@ -13,7 +13,7 @@
 
 import eliot
 from bronzepaddle import answers, ids, logs, logwriter, verdicts
-from bronzepaddle_node import sidecar_metrics
+from bronzepaddle_node import sidecar_metrics, vitals
 
 REQUESTS: typing.Final = 20_000
 ROUNDS: typing.Final = 5
@@ -27,7 +27,21 @@
     ME, "i-0123456789@1790230063093", 4, 0.123, "ran", "served", 0.0812
 )
 READINGS: typing.Final = sidecar_metrics.Readings(
-    0, 0, {}, 0.0, 0, 0.0, 0, 0, 0, 0, 0.0, {}, {}
+    0,
+    0,
+    {},
+    0.0,
+    0,
+    0.0,
+    0,
+    0,
+    0,
+    0,
+    0.0,
+    {},
+    {},
+    0.0,
+    vitals.Standing(vitals.Traffic(0, 0, 0, 0, 0), 0, 0.0),
 )
 
 
--- a/packages/bronzepaddle-callers/src/bronzepaddle_callers/server.py
+++ b/packages/bronzepaddle-callers/src/bronzepaddle_callers/server.py
@@ -123,6 +123,11 @@
         """Listen; raises ``OSError`` when the port is taken."""
         self.server.start_threads()
 
+    def unthreaded(self) -> int:
+        """Return how many connections wait for a worker thread."""
+        waiting: int = self.server.requests.qsize
+        return waiting
+
     def close_after_answers(self) -> None:
         """Close each connection after its next answer."""
         self.server.closing = True
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/configuration.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/configuration.py
@@ -43,6 +43,8 @@
         self.table: routes.Table | None = None
         self.document = b""
         self.seen = ids.NO_VERSION
+        # When the store last answered what is the newest version.
+        self.confirmed_at = time.now()
         self.running = tasks.Tasks()
         self.pulling = False
 
@@ -77,6 +79,7 @@
                 logs.call_failed(self.object_name, repr(error))
                 await self.time.sleep(RETRY_S)
                 continue
+            self.confirmed_at = self.time.now()
             if found is None:
                 if self.seen == ids.NO_VERSION:
                     await self.time.sleep(RETRY_S)
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -44,6 +44,7 @@
     serving,
     sidecar_metrics,
     tasks,
+    vitals,
 )
 
 CONTROL_THREADS: typing.Final = 3
@@ -163,6 +164,7 @@
         )
         self.keeper = self._build_keeper()
         self.announcer.learners.extend((self.configuration.heard, self._heard))
+        self.vitals = vitals.Vitals(self._standing, self.time)
         await self._serve_peers()
         self._serve_http()
         start = self.running.start
@@ -170,6 +172,7 @@
         start(self.announcer.run(), "statuses")
         start(self.configuration.run(), "configuration")
         start(self.keeper.run(lambda: self.configuration.table), "keys")
+        start(self.vitals.run(), "vitals")
         logs.process("started", settings.name)
 
     def _build_keeper(self) -> keeping.Keeper:
@@ -363,6 +366,21 @@
             suspects=self.crashes.told(),
         )
 
+    def _standing(self) -> vitals.Standing:
+        """Return what the log tells of this process's own work."""
+        peers = self.roster.peers.values()
+        return vitals.Standing(
+            vitals.Traffic(
+                self.udp.sent,
+                self.udp.sent_bytes,
+                self.udp.received,
+                self.udp.received_bytes,
+                sum(peer.missed for peer in peers),
+            ),
+            self.callers.unthreaded(),
+            self.time.now() - self.configuration.confirmed_at,
+        )
+
     def _readings(self) -> sidecar_metrics.Readings:
         """Return what the metrics show of this moment."""
         now = self.time.now()
@@ -388,6 +406,8 @@
             oldest_status_s=max(ages, default=0.0),
             store_calls=dict(self.store.calls.counts),
             lines_dropped=dropped,
+            loop_lag_s=self.vitals.lag_s,
+            standing=self._standing(),
         )
 
     def reconfigure(self, settings: sidecar_options.SidecarOptions) -> None:
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar_metrics.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar_metrics.py
@@ -14,7 +14,7 @@
 from bronzepaddle import answers, ids
 from bronzepaddle_callers import exchange
 
-from bronzepaddle_node import metrics
+from bronzepaddle_node import metrics, vitals
 
 LATENCY_BOUNDS_S: typing.Final = (
     0.01,
@@ -42,7 +42,9 @@
     of line.  ``unheld_s`` is the time for which keys assigned to this
     process's server were not held by it, times their share of all keys.
     ``oldest_status_s`` is the age of the oldest status of a peer that is
-    taken for alive.
+    ``oldest_status_s`` is the age of the oldest status of a peer that is
+    taken for alive, ``loop_lag_s`` the longest lateness of the event loop
+    within the last two seconds.
     """
 
     waiting: int
@@ -58,6 +60,8 @@
     oldest_status_s: float
     store_calls: Counts
     lines_dropped: collections.abc.Mapping[str, int]
+    loop_lag_s: float
+    standing: vitals.Standing
 
 
 Read: typing.TypeAlias = collections.abc.Callable[[], Readings]
@@ -167,6 +171,27 @@
         yield _one(count, {"method": method, "outcome": outcome})
 
 
+def _datagrams(now: Readings) -> _Observations:
+    traffic = now.standing.traffic
+    yield _one(traffic.sent, {"way": "sent"})
+    yield _one(traffic.received, {"way": "received"})
+    yield _one(traffic.missed, {"way": "missed"})
+
+
+def _datagram_bytes(now: Readings) -> _Observations:
+    traffic = now.standing.traffic
+    yield _one(traffic.sent_bytes, {"way": "sent"})
+    yield _one(traffic.received_bytes, {"way": "received"})
+
+
+def _unthreaded(now: Readings) -> _Observations:
+    yield _one(now.standing.unthreaded)
+
+
+def _unconfirmed(now: Readings) -> _Observations:
+    yield _one(now.standing.unconfirmed_s)
+
+
 def _lines(now: Readings) -> _Observations:
     for kind, count in now.lines_dropped.items():
         yield _one(count, {"kind": kind})
@@ -182,6 +207,9 @@
     ("bronzepaddle.ownership.version", "", _of("ownership_version")),
     ("bronzepaddle.peers.alive", "", _of("peers_alive")),
     ("bronzepaddle.status.oldest", "s", _of("oldest_status_s")),
+    ("bronzepaddle.loop.lag", "s", _of("loop_lag_s")),
+    ("bronzepaddle.callers.unthreaded", "", _unthreaded),
+    ("bronzepaddle.config.unconfirmed", "s", _unconfirmed),
 )
 """Name, unit and observation of each gauge."""
 
@@ -190,5 +218,7 @@
     ("bronzepaddle.ranges.moved", _of("ranges_moved")),
     ("bronzepaddle.store.calls", _store_calls),
     ("bronzepaddle.log.dropped", _lines),
+    ("bronzepaddle.datagrams", _datagrams),
+    ("bronzepaddle.datagram.bytes", _datagram_bytes),
 )
 """Name and observation of each counter that another part keeps."""
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/datagrams.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/datagrams.py
@@ -59,7 +59,10 @@
         self.receive = receive
         self.transport: asyncio.DatagramTransport | None = None
         self.rejected = 0
+        self.sent = 0
         self.sent_bytes = 0
+        self.received = 0
+        self.received_bytes = 0
 
     async def listen(self, host: str, port: int) -> int:
         """Open the socket and return its port; raises ``OSError``."""
@@ -76,6 +79,8 @@
 
     def datagram_received(self, data: bytes, addr: typing.Any) -> None:
         """Pass a genuine message on; count any other."""
+        self.received += 1
+        self.received_bytes += len(data)
         message = unseal(data, self.key, self.message_type)
         if message is None:
             self.rejected += 1
@@ -91,6 +96,7 @@
         if self.transport is None:
             return
         datagram = seal(message, self.key)
+        self.sent += 1
         self.sent_bytes += len(datagram)
         self.transport.sendto(datagram, (to.host, to.port))
 
--- a/packages/bronzepaddle/src/bronzepaddle/logs.py
+++ b/packages/bronzepaddle/src/bronzepaddle/logs.py
@@ -366,3 +366,19 @@
 def process(what: str, detail: str) -> None:
     """Log a start, a stop or a reload of this process."""
     eliot.log_message(message_type="process", what=what, detail=detail)
+
+
+def vitals(
+    lag_s: float,
+    datagrams: collections.abc.Mapping[str, int],
+    unthreaded: int,
+    unconfirmed_s: float,
+) -> None:
+    """Log how late this process is, and what its heartbeats cost it."""
+    eliot.log_message(
+        message_type="vitals",
+        lag_s=round(lag_s, 3),
+        datagrams=dict(datagrams),
+        unthreaded=unthreaded,
+        unconfirmed_s=round(unconfirmed_s, 3),
+    )
--- /dev/null
+++ b/tests/test_vitals.py
@@ -0,0 +1,71 @@
+"""How late a process is, and what is lost on the way to it, is told."""
+
+import asyncio
+import typing
+
+import eliot
+from bronzepaddle import cells, ids
+from bronzepaddle_node import roster, vitals
+from bronzepaddle_peers import statuses
+
+from support import turned
+
+STANDING: typing.Final = vitals.Standing(
+    vitals.Traffic(1, 100, 2, 200, 3), 4, 0.5
+)
+
+
+def status(sequence: int) -> statuses.Status:
+    return statuses.Status(
+        sender=ids.MemberId("b"),
+        incarnation=ids.Incarnation("1"),
+        started_ms=1,
+        sequence=sequence,
+        address=cells.Address("127.0.0.1", 1),
+        zone=ids.ZoneName("zone"),
+        leaving=False,
+        service=ids.ServiceName("shop"),
+        run="s@1",
+        state=statuses.ServerState.READY,
+        slots=3,
+        outstanding=0,
+        service_s=0.1,
+        cold_s=0.0,
+        table_version=ids.BundleVersion(1),
+        ownership_version=ids.NO_VERSION,
+        held=(),
+    )
+
+
+def test_statuses_that_never_came_are_counted() -> None:
+    known = roster.Roster(ids.MemberId("a"), ids.ZoneName("zone"))
+    for sequence in (1, 2, 5, 4):
+        known.learn(status(sequence), 0.0)
+    assert known.peers[ids.MemberId("b")].missed == 2
+
+
+def test_lateness_of_the_event_loop_is_told() -> None:
+    loop = turned.TurnedLoop()
+    time = turned.MemberClock(loop, 1.0)
+    messages: list[dict[str, typing.Any]] = []
+
+    async def play() -> None:
+        running = asyncio.create_task(
+            vitals.Vitals(lambda: STANDING, time).run()
+        )
+        await asyncio.sleep(0.1)
+        # The loop does something else while the clock goes on.
+        loop.jumping.now += 1.0
+        await asyncio.sleep(2.5)
+        running.cancel()
+
+    eliot.add_destinations(messages.append)
+    try:
+        loop.run_until_complete(play())
+    finally:
+        eliot.remove_destination(messages.append)
+        loop.close()
+    lines = [one for one in messages if one["message_type"] == "vitals"]
+    assert len(lines) == 1
+    assert 0.8 < lines[0]["lag_s"] < 1.0
+    assert lines[0]["datagrams"]["missed"] == 3
