Wait for no watch of the configuration for long, and in no two processes alike

Cause: a watch that says nothing was believed for 20 s and a timeout of 1 s; all processes begin theirs together, so no peer knows more either. Ruled out: a lost revision (the next watch tells all), the spreading between processes (0.1 s).

Now a watch is as long as makes the whole fleet begin 4 a second (2 s at the least, 20 s at the most), drawn anew each time between half of that and all of it, so that some process asks again soon and the others learn from it.

Calls: some 4 a second for the fleet, as many as its size asked for in 20 s before from 80 processes on.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/configuration.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/configuration.py
@@ -2,9 +2,12 @@
 
 It is watched in the store; a process that can't reach the store asks a peer
 whose status names a newer version.  The version in force never goes back.
+That a watch says nothing does not prove that there is nothing new, so none
+is waited for for long.
 """
 
 import collections.abc
+import random
 import typing
 
 from bronzepaddle import clocks, ids, logs, routes
@@ -13,7 +16,16 @@
 
 from bronzepaddle_node import tasks
 
-WATCH_S: typing.Final = 20.0
+ASKS_PER_S: typing.Final = 4.0
+"""Watches that all processes together begin in a second.  A watch may be
+silent for good, and all may be at once: what the first new one finds, peers
+learn from its process."""
+
+LEAST_WATCH_S: typing.Final = 2.0
+MOST_WATCH_S: typing.Final = 20.0
+WATCH_SPREAD: typing.Final = (0.5, 1.0)
+"""Shares of the time of a watch that are drawn from, lest all end at once."""
+
 RETRY_S: typing.Final = 0.3
 
 Decode: typing.TypeAlias = collections.abc.Callable[[bytes], routes.Table]
@@ -33,6 +45,8 @@
         learners: collections.abc.Sequence[Learn],
         peers: streams.Client,
         time: clocks.Clock,
+        fleet_size: collections.abc.Callable[[], int],
+        draw: random.Random,
     ) -> None:
         self.object_name = object_name
         self.objects = objects
@@ -40,6 +54,8 @@
         self.learners = learners
         self.peers = peers
         self.time = time
+        self.fleet_size = fleet_size
+        self.draw = draw
         self.table: routes.Table | None = None
         self.document = b""
         self.seen = ids.NO_VERSION
@@ -90,7 +106,15 @@
     async def _next(self) -> store.StoredObject | None:
         if self.seen == ids.NO_VERSION:
             return await self.objects.get(self.object_name)
-        return await self.objects.watch(self.object_name, self.seen, WATCH_S)
+        return await self.objects.watch(
+            self.object_name, self.seen, self._watch_s()
+        )
+
+    def _watch_s(self) -> float:
+        """Return how long the next watch may wait."""
+        longest_s = self.fleet_size() / ASKS_PER_S
+        longest_s = min(max(longest_s, LEAST_WATCH_S), MOST_WATCH_S)
+        return longest_s * self.draw.uniform(*WATCH_SPREAD)
 
     def heard(self, status: statuses.Status) -> None:
         """Fetch what a peer has if its version is newer."""
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -161,6 +161,8 @@
             ),
             self.peers,
             self.time,
+            lambda: len(self.roster.peers),
+            random.Random(),
         )
         self.keeper = self._build_keeper()
         self.announcer.learners.extend((self.configuration.heard, self._heard))
--- a/tests/test_vitals.py
+++ b/tests/test_vitals.py
@@ -7,7 +7,6 @@
 from bronzepaddle import cells, ids
 from bronzepaddle_node import roster, vitals
 from bronzepaddle_peers import statuses
-
 from support import turned
 
 STANDING: typing.Final = vitals.Standing(
