Have TCP end connections that fall silent, wherever they lead to

Streams between processes were given up after 2.5 s without a word, kept connections to servers and to the store by nothing but a call's timeout, an idle watch by none but its own. A connection that ends so raised the same error as a deadline, which is never tried again.

New tests: test_keepalive.py, all failing before.

--- a/packages/bronzepaddle-backend/src/bronzepaddle_backend/connections.py
+++ b/packages/bronzepaddle-backend/src/bronzepaddle_backend/connections.py
@@ -16,7 +16,7 @@
 import typing
 
 import urllib3
-from bronzepaddle import answers, ids, problems, verdicts
+from bronzepaddle import answers, ids, keepalive, problems, verdicts
 
 CONNECT_TIMEOUT_S: typing.Final = 0.5
 
@@ -167,7 +167,7 @@
             return self._exchange(connection, outgoing, cancellation)
         except (TimeoutError, urllib3.exceptions.TimeoutError) as error:
             connection.close()
-            return self._lost(verdicts.Reason.DEADLINE, error)
+            return self._lost(self._timed_out(outgoing), error)
         except OddAnswerError as error:
             connection.close()
             return self._lost(verdicts.Reason.TRUNCATED, error)
@@ -177,6 +177,13 @@
         finally:
             cancellation.detach()
 
+    def _timed_out(self, outgoing: Outgoing) -> verdicts.Reason:
+        """Tell a request's own deadline from a connection found silent."""
+        left_s = outgoing.deadline - self.time_now()
+        if left_s > LEAST_TIMEOUT_S:
+            return verdicts.Reason.BACKEND_LOST
+        return verdicts.Reason.DEADLINE
+
     def _connect(
         self, longest_idle_s: float, timeout_s: float
     ) -> urllib3.connection.HTTPConnection:
@@ -185,7 +192,10 @@
         if kept is not None:
             return kept
         connection = urllib3.connection.HTTPConnection(
-            self.host, self.port, timeout=timeout_s
+            self.host,
+            self.port,
+            timeout=timeout_s,
+            socket_options=keepalive.OPTIONS,
         )
         connection.connect()
         return connection
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/streams.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/streams.py
@@ -17,7 +17,7 @@
 import grpclib.const
 import grpclib.exceptions
 import grpclib.server
-from bronzepaddle import answers, cells, ids, logs, verdicts
+from bronzepaddle import answers, cells, ids, keepalive, logs, verdicts
 
 from bronzepaddle_peers import client, codec, exchanges, statuses
 
@@ -89,7 +89,8 @@
     async def _run(self) -> None:
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                await self.channel.__connect__()
+                connected = await self.channel.__connect__()
+            _guard(connected)
             method: typing.Any = grpclib.client.StreamStreamMethod(
                 self.channel,
                 PATH + "Exchange",
@@ -200,6 +201,15 @@
         self.pending.clear()
 
 
+def _guard(protocol: typing.Any) -> None:
+    """Have a connection end that falls silent while nothing is owed."""
+    # The library has no public way to the socket of a channel.
+    transport = protocol.connection._transport
+    found = transport.get_extra_info("socket")
+    if found is not None:
+        keepalive.guard(found)
+
+
 def _reply(head: exchanges.Head, pieces: list[bytes]) -> Reply:
     return Reply(
         answers.Answer(
--- a/packages/bronzepaddle-store/src/bronzepaddle_store/calls.py
+++ b/packages/bronzepaddle-store/src/bronzepaddle_store/calls.py
@@ -12,7 +12,7 @@
 import typing
 
 import urllib3
-from bronzepaddle import logs
+from bronzepaddle import keepalive, logs
 
 from bronzepaddle_store import store
 
@@ -65,7 +65,11 @@
         self.counts: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
-        self.pool = urllib3.PoolManager(maxsize=_CONNECTIONS, retries=False)
+        self.pool = urllib3.PoolManager(
+            maxsize=_CONNECTIONS,
+            retries=False,
+            socket_options=keepalive.OPTIONS,
+        )
         self.threads = concurrent.futures.ThreadPoolExecutor(
             _CALL_THREADS, thread_name_prefix="platform"
         )
--- /dev/null
+++ b/tests/test_keepalive.py
@@ -0,0 +1,135 @@
+"""A connection that falls silent is ended, whoever it leads to."""
+
+import asyncio
+import errno
+import socket
+import time
+import typing
+
+import pytest
+from bronzepaddle import cells, ids, verdicts
+from bronzepaddle_backend import connections
+from bronzepaddle_node import listening
+from bronzepaddle_peers import exchanges, streams
+from bronzepaddle_platform import names, objects
+from bronzepaddle_store import calls
+
+SILENT_S: typing.Final = 3.0
+"""Bound on the time until a silent connection has ended."""
+
+
+def assert_guarded(found: socket.socket) -> None:
+    """Check that the system ends a connection which is silent too long."""
+
+    def option(name: int) -> int:
+        return found.getsockopt(socket.IPPROTO_TCP, name)
+
+    assert found.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+    assert 0 < option(socket.TCP_USER_TIMEOUT) <= SILENT_S * 1000
+    probes_s = option(socket.TCP_KEEPINTVL) * option(socket.TCP_KEEPCNT)
+    assert option(socket.TCP_KEEPIDLE) + probes_s <= SILENT_S
+
+
+def test_connection_to_the_store() -> None:
+    found = objects.ObjectStore("127.0.0.1:1", 1.0, calls.CallBudget(1))
+    pool = found.calls.pool.connection_from_host("127.0.0.1", 1)
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        connection: typing.Any = pool.ConnectionCls(
+            *server.getsockname(), **pool.conn_kw
+        )
+        connection.connect()
+        assert_guarded(connection.sock)
+        connection.close()
+    found.close()
+
+
+def test_connection_to_the_backend_server() -> None:
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        host, port = server.getsockname()
+        links = connections.Connections(
+            ids.MemberId("me"), host, port, names.SERVERS, time.monotonic
+        )
+        connection = links._connect(1.0, 1.0)
+        assert_guarded(connection.sock)
+        connection.close()
+
+
+def test_both_ends_of_a_stream_between_processes() -> None:
+    accepted: list[socket.socket] = []
+
+    async def play() -> None:
+        listener = listening.tcp_socket("127.0.0.1", 0)
+        listener.listen()
+        host, port = listener.getsockname()
+        client = streams.Client()
+        asking = asyncio.create_task(
+            client.send(
+                ids.MemberId("b"),
+                cells.Address(host, port),
+                typing.cast(exchanges.Ask, exchanges.Ping(1)),
+            )
+        )
+        accepting, _ = await asyncio.get_running_loop().run_in_executor(
+            None, listener.accept
+        )
+        accepted.append(accepting)
+        await asyncio.sleep(0.1)
+        line = client.lines[ids.MemberId("b")]
+        protocol: typing.Any = line.channel._protocol
+        assert_guarded(protocol.connection._transport.get_extra_info("socket"))
+        asking.cancel()
+        await client.close()
+        listener.close()
+
+    asyncio.run(play())
+    assert_guarded(accepted[0])
+    accepted[0].close()
+
+
+@pytest.mark.parametrize(
+    ("left_s", "reason"),
+    [
+        (2.0, verdicts.Reason.BACKEND_LOST),
+        (0.005, verdicts.Reason.DEADLINE),
+    ],
+)
+def test_silent_connection_is_told_from_a_deadline(
+    monkeypatch: pytest.MonkeyPatch, left_s: float, reason: verdicts.Reason
+) -> None:
+    """The system ends both by the same error, but one may be tried again."""
+    links = connections.Connections(
+        ids.MemberId("me"), "127.0.0.1", 1, names.SERVERS, lambda: 100.0
+    )
+    ended = OSError(errno.ETIMEDOUT, "Connection timed out")
+
+    def silent(*_: object) -> typing.NoReturn:
+        raise ended
+
+    monkeypatch.setattr(links, "_exchange", silent)
+    monkeypatch.setattr(
+        links, "_connect", lambda *_: typing.cast(typing.Any, _Closable())
+    )
+    outgoing = connections.Outgoing(
+        ids.RequestId("r"),
+        ids.ServiceName("shop"),
+        "i",
+        "GET",
+        "/",
+        (),
+        b"",
+        100.0 + max(left_s, 0.02),
+        True,
+    )
+    if reason is verdicts.Reason.DEADLINE:
+        times = iter((100.0, 100.0 + 0.02))
+        links.time_now = lambda: next(times, 100.02)
+    answer = links.send(outgoing, connections.Cancellation())
+    assert answer.reason is reason
+    assert answer.verdict is verdicts.Verdict.MAY_HAVE_RUN
+
+
+class _Closable:
+    """Stands for a connection."""
+
+    def close(self) -> None:
+        """Do nothing."""
