--- a/bench/logcost.py
+++ b/bench/logcost.py
@@ -39,9 +39,8 @@
     0,
     0.0,
     {},
-    {},
     0.0,
-    vitals.Standing(vitals.Traffic(0, 0, 0, 0, 0), 0, 0.0),
+    vitals.Standing(vitals.Traffic(0, 0, 0, 0, 0), {}, 0, 0.0),
 )
 
 
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -379,6 +379,7 @@
                 self.udp.received_bytes,
                 sum(peer.missed for peer in peers),
             ),
+            dict(self.store.calls.counts),
             self.callers.unthreaded(),
             self.time.now() - self.configuration.confirmed_at,
         )
@@ -406,7 +407,6 @@
             ownership_version=self.keeper.version,
             peers_alive=len(ages),
             oldest_status_s=max(ages, default=0.0),
-            store_calls=dict(self.store.calls.counts),
             lines_dropped=dropped,
             loop_lag_s=self.vitals.lag_s,
             standing=self._standing(),
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar_metrics.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar_metrics.py
@@ -31,16 +31,14 @@
     10.0,
 )
 
-Counts: typing.TypeAlias = collections.abc.Mapping[tuple[str, str], int]
-
 
 @dataclasses.dataclass(frozen=True)
 class Readings:
     """What a process knows at one moment; times in seconds.
 
-    ``store_calls`` counts by method and outcome, ``lines_dropped`` by kind
-    of line.  ``unheld_s`` is the time for which keys assigned to this
-    process's server were not held by it, times their share of all keys.
+    ``lines_dropped`` counts by kind of line.  ``unheld_s`` is the time for
+    which keys assigned to this process's server were not held by it, times
+    their share of all keys.
     ``oldest_status_s`` is the age of the oldest status of a peer that is
     ``oldest_status_s`` is the age of the oldest status of a peer that is
     taken for alive, ``loop_lag_s`` the longest lateness of the event loop
@@ -58,7 +56,6 @@
     ownership_version: int
     peers_alive: int
     oldest_status_s: float
-    store_calls: Counts
     lines_dropped: collections.abc.Mapping[str, int]
     loop_lag_s: float
     standing: vitals.Standing
@@ -167,7 +164,7 @@
 
 
 def _store_calls(now: Readings) -> _Observations:
-    for (method, outcome), count in now.store_calls.items():
+    for (method, outcome), count in now.standing.store_calls.items():
         yield _one(count, {"method": method, "outcome": outcome})
 
 
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/vitals.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/vitals.py
@@ -35,12 +35,14 @@
 class Standing:
     """What a process knows of its own work at one moment.
 
+    ``store_calls`` counts by method and outcome since the start,
     ``unthreaded`` counts callers' connections that wait for a thread,
     ``unconfirmed_s`` is the time since the store last said which
     configuration is the newest.
     """
 
     traffic: Traffic
+    store_calls: collections.abc.Mapping[tuple[str, str], int]
     unthreaded: int
     unconfirmed_s: float
 
@@ -70,6 +72,7 @@
                 logs.vitals(
                     self.lag_s,
                     dataclasses.asdict(now.traffic),
+                    now.store_calls,
                     now.unthreaded,
                     now.unconfirmed_s,
                 )
--- a/packages/bronzepaddle/src/bronzepaddle/logs.py
+++ b/packages/bronzepaddle/src/bronzepaddle/logs.py
@@ -371,6 +371,7 @@
 def vitals(
     lag_s: float,
     datagrams: collections.abc.Mapping[str, int],
+    store_calls: collections.abc.Mapping[tuple[str, str], int],
     unthreaded: int,
     unconfirmed_s: float,
 ) -> None:
@@ -379,6 +380,7 @@
         message_type="vitals",
         lag_s=round(lag_s, 3),
         datagrams=dict(datagrams),
+        store_calls={" ".join(kind): n for kind, n in store_calls.items()},
         unthreaded=unthreaded,
         unconfirmed_s=round(unconfirmed_s, 3),
     )
--- a/tests/test_sidecar_metrics.py
+++ b/tests/test_sidecar_metrics.py
@@ -23,10 +23,14 @@
     ownership_version=5,
     peers_alive=6,
     oldest_status_s=0.2,
-    store_calls={("GET", "200"): 4, ("PUT", "lost"): 1},
     lines_dropped={"served": 3},
     loop_lag_s=0.03,
-    standing=vitals.Standing(vitals.Traffic(7, 700, 8, 800, 9), 2, 0.75),
+    standing=vitals.Standing(
+        vitals.Traffic(7, 700, 8, 800, 9),
+        {("GET", "200"): 4, ("PUT", "lost"): 1},
+        2,
+        0.75,
+    ),
 )
 
 
--- a/tests/test_vitals.py
+++ b/tests/test_vitals.py
@@ -10,7 +10,7 @@
 from support import turned
 
 STANDING: typing.Final = vitals.Standing(
-    vitals.Traffic(1, 100, 2, 200, 3), 4, 0.5
+    vitals.Traffic(1, 100, 2, 200, 3), {("GET", "200"): 5}, 4, 0.5
 )
 
 
@@ -68,3 +68,4 @@
     assert len(lines) == 1
     assert 0.8 < lines[0]["lag_s"] < 1.0
     assert lines[0]["datagrams"]["missed"] == 3
+    assert lines[0]["store_calls"] == {"GET 200": 5}
