Choose the better of two drawn servers where a service has many

Cause: each of 73 processes takes the least loaded server by statuses of up to 0.5 s ago, so all of them take the same few. Ruled out: too few slots (30 to 40 in 100 in use).

--- a/packages/bronzepaddle/src/bronzepaddle/choosing.py
+++ b/packages/bronzepaddle/src/bronzepaddle/choosing.py
@@ -4,6 +4,10 @@
 entry processes that choose at once: the expected time at each candidate is
 compared, with what this process has sent since the candidate's last word
 counted in, and a little noise so that entries do not all pick the same one.
+
+In a large fleet many entries know the same loads, all of them somewhat old.
+If each took the best of all servers, they would fill the same few until the
+next word of these; so each compares two that it draws.
 """
 
 import collections.abc
@@ -16,6 +20,13 @@
 NOISE: typing.Final = 0.1
 """Share by which a candidate's expected time is blurred."""
 
+FEW: typing.Final = 4
+"""Candidates up to which all are compared: so few are known well, from the
+answers to one's own requests."""
+
+DRAWN: typing.Final = 2
+"""Candidates that are compared where there are more."""
+
 UNKNOWN_SERVICE_S: typing.Final = 0.05
 """Taken for servers of a service of which none has been measured yet."""
 
@@ -45,13 +56,19 @@
 def choose(
     candidates: collections.abc.Sequence[Candidate], draw: random.Random
 ) -> ids.MemberId | None:
-    """Return the candidate with the least expected time, None of none."""
+    """Return the candidate with the least expected time, None of none.
+
+    With more than a few candidates, it is the better of two drawn ones.
+    """
     if not candidates:
         return None
     measured = [one.service_s for one in candidates if one.service_s]
     unmeasured_s = min(measured, default=UNKNOWN_SERVICE_S)
+    compared = candidates
+    if len(candidates) > FEW:
+        compared = draw.sample(candidates, DRAWN)
     best = min(
-        candidates,
+        compared,
         key=lambda one: (
             expected_s(one, unmeasured_s) * draw.uniform(1 - NOISE, 1 + NOISE)
         ),
--- a/tests/test_choosing.py
+++ b/tests/test_choosing.py
@@ -38,3 +38,60 @@
 
 def test_nobody_is_chosen_of_none() -> None:
     assert choosing.choose([], random.Random(1)) is None
+
+
+ENTRIES: typing.Final = 73
+SERVERS: typing.Final = 22
+SLOTS: typing.Final = 3
+WORK_S: typing.Final = 0.12
+REQUESTS_PER_S: typing.Final = 180.0
+STATUS_S: typing.Final = 0.5
+
+
+def share_that_finds_no_slot(seed: int) -> float:
+    """Replay requests of many entries that hear of loads now and then.
+
+    A third of the slots is in use on average; an entry knows the load at
+    each server's last status, and what it has sent there since.
+    """
+    draw = random.Random(seed)
+    ends: list[list[float]] = [[] for _ in range(SERVERS)]
+    told = [0] * SERVERS
+    sent = [[0] * SERVERS for _ in range(ENTRIES)]
+    next_status = [draw.random() * STATUS_S for _ in range(SERVERS)]
+    now, full, asked = 0.0, 0, 0
+    while now < 10.0:
+        now += draw.expovariate(REQUESTS_PER_S)
+        for server in range(SERVERS):
+            ends[server] = [at for at in ends[server] if at > now]
+            if next_status[server] <= now:
+                next_status[server] += STATUS_S
+                told[server] = len(ends[server])
+                for known in sent:
+                    known[server] = 0
+        entry = sent[draw.randrange(ENTRIES)]
+        chosen = choosing.choose(
+            [
+                dataclasses.replace(
+                    KNOWN,
+                    member=ids.MemberId(str(server)),
+                    slots=SLOTS,
+                    outstanding=told[server] + entry[server],
+                )
+                for server in range(SERVERS)
+            ],
+            draw,
+        )
+        server = int(str(chosen))
+        entry[server] += 1
+        asked += 1
+        full += len(ends[server]) >= SLOTS
+        ends[server].append(now + draw.expovariate(1 / WORK_S))
+    return full / asked
+
+
+def test_many_entries_with_old_knowledge_do_not_fill_the_same_servers() -> (
+    None
+):
+    shares = [share_that_finds_no_slot(seed) for seed in (1, 2, 3)]
+    assert max(shares) < 0.12
