Bound each answer of a server, and of the store, in time and size

Cause: the HTTP library bounds the wait for each piece, not for the whole, and no size. Interim answers without end kept a thread for ever, bodies filled the memory until the process was killed, and a trickling answer to one grant held the only thread for grants, so that all keys would be lost. The store's calls had the same gap: a trickling watch would have been believed for ever.

--- a/packages/bronzepaddle-backend/src/bronzepaddle_backend/connections.py
+++ b/packages/bronzepaddle-backend/src/bronzepaddle_backend/connections.py
@@ -16,7 +16,7 @@
 import typing
 
 import urllib3
-from bronzepaddle import answers, ids, keepalive, problems, verdicts
+from bronzepaddle import answers, boundedhttp, ids, problems, verdicts
 
 CONNECT_TIMEOUT_S: typing.Final = 0.5
 
@@ -30,6 +30,11 @@
 """The same for a request that must not be repeated: the server may be
 closing the connection, and the request would be lost."""
 
+PIECE_BYTES: typing.Final = 64 * 1024
+
+MOST_BUFFERED_BYTES: typing.Final = 64 * 1024 * 1024
+"""Bytes of all answers being read from one server: a share of the memory of
+the smallest VM."""
 
 _BROKEN: typing.Final = (
     urllib3.exceptions.HTTPError,
@@ -82,9 +87,9 @@
     def __init__(self) -> None:
         self.lock = threading.Lock()
         self.cancelled = False
-        self.connection: urllib3.connection.HTTPConnection | None = None
+        self.connection: boundedhttp.Connection | None = None
 
-    def attach(self, connection: urllib3.connection.HTTPConnection) -> bool:
+    def attach(self, connection: boundedhttp.Connection) -> bool:
         """Note the connection in use; False if cancelled already."""
         with self.lock:
             self.connection = connection
@@ -117,7 +122,7 @@
 class _Idle:
     """A connection that may be reused, and since when it is idle."""
 
-    connection: urllib3.connection.HTTPConnection
+    connection: boundedhttp.Connection
     since: float
 
 
@@ -140,6 +145,8 @@
         self.lock = threading.Lock()
         self.idle: list[_Idle] = []
         self.closed = False
+        # Bytes of answers that are being read now.
+        self.buffered = 0
 
     def send(
         self, outgoing: Outgoing, cancellation: Cancellation
@@ -168,7 +175,7 @@
         except (TimeoutError, urllib3.exceptions.TimeoutError) as error:
             connection.close()
             return self._lost(self._timed_out(outgoing), error)
-        except OddAnswerError as error:
+        except (OddAnswerError, boundedhttp.EndlessAnswerError) as error:
             connection.close()
             return self._lost(verdicts.Reason.TRUNCATED, error)
         except _BROKEN as error:
@@ -186,23 +193,16 @@
 
     def _connect(
         self, longest_idle_s: float, timeout_s: float
-    ) -> urllib3.connection.HTTPConnection:
+    ) -> boundedhttp.Connection:
         """Return a kept connection that still looks well, or a new one."""
         kept = self._kept(longest_idle_s)
         if kept is not None:
             return kept
-        connection = urllib3.connection.HTTPConnection(
-            self.host,
-            self.port,
-            timeout=timeout_s,
-            socket_options=keepalive.OPTIONS,
-        )
+        connection = boundedhttp.connection(self.host, self.port, timeout_s)
         connection.connect()
         return connection
 
-    def _kept(
-        self, longest_s: float
-    ) -> urllib3.connection.HTTPConnection | None:
+    def _kept(self, longest_s: float) -> boundedhttp.Connection | None:
         now = self.time_now()
         while True:
             with self.lock:
@@ -215,7 +215,7 @@
 
     def _exchange(
         self,
-        connection: urllib3.connection.HTTPConnection,
+        connection: boundedhttp.Connection,
         outgoing: Outgoing,
         cancellation: Cancellation,
     ) -> answers.Answer:
@@ -234,8 +234,16 @@
             decode_content=False,
         )
         response = connection.getresponse()
-        body = response.read(decode_content=False)
-        answer = self._judge(outgoing, response, body)
+        refusal = self._judge(outgoing, response)
+        body = self._whole_body(response)
+        answer = refusal or answers.Answer(
+            status=response.status,
+            headers=answers.without_hop_by_hop(response.headers.items()),
+            body=iter((body,)),
+            verdict=verdicts.Verdict.RAN,
+            reason=verdicts.Reason.SERVED,
+            server=self.member,
+        )
         cancellation.detach()
         self._give_back(connection, response)
         return answer
@@ -265,9 +273,11 @@
         self,
         outgoing: Outgoing,
         response: urllib3.BaseHTTPResponse,
-        body: bytes,
-    ) -> answers.Answer:
-        """Return the answer; raises ``OddAnswerError`` if it is not ours."""
+    ) -> answers.Answer | None:
+        """Return a refusal, None for an answer; reads the head only.
+
+        Raises ``OddAnswerError`` if the answer is not ours.
+        """
         wire, found = self.wire, response.headers
         if found.get(wire.not_run) is not None or response.status == 421:
             return answers.refusal(
@@ -288,14 +298,27 @@
             raise OddAnswerError("the answer is not signed")
         if response.status in problems.PROMISES:
             raise OddAnswerError(f"status {response.status}, though it ran")
-        return answers.Answer(
-            status=response.status,
-            headers=answers.without_hop_by_hop(found.items()),
-            body=iter((body,)),
-            verdict=verdicts.Verdict.RAN,
-            reason=verdicts.Reason.SERVED,
-            server=self.member,
-        )
+        return None
+
+    def _whole_body(self, response: urllib3.BaseHTTPResponse) -> bytes:
+        """Read a body to its end, within the bound on all of them."""
+        pieces: list[bytes] = []
+        taken = 0
+        try:
+            while piece := response.read(PIECE_BYTES, decode_content=False):
+                taken += len(piece)
+                self._buffer(len(piece))
+                pieces.append(piece)
+        finally:
+            self._buffer(-taken)
+        return b"".join(pieces)
+
+    def _buffer(self, count: int) -> None:
+        """Count bytes of answers that are being read."""
+        with self.lock:
+            self.buffered += count
+            if count > 0 and self.buffered > MOST_BUFFERED_BYTES:
+                raise OddAnswerError("too many bytes of answers at once")
 
     def order(
         self, path: str, body: bytes, timeout_s: float
@@ -310,6 +333,7 @@
             ended = _nothing_listens(error)
             raise OrderNotSentError(repr(error), ended) from error
         try:
+            connection.timeout = timeout_s
             connection.sock.settimeout(timeout_s)
             connection.request(
                 "POST",
@@ -320,7 +344,7 @@
             )
             response = connection.getresponse()
             response.read()
-        except _BROKEN as error:
+        except (*_BROKEN, boundedhttp.EndlessAnswerError) as error:
             connection.close()
             raise OrderLostError(repr(error)) from error
         self._give_back(connection, response)
@@ -328,7 +352,7 @@
 
     def _give_back(
         self,
-        connection: urllib3.connection.HTTPConnection,
+        connection: boundedhttp.Connection,
         response: urllib3.BaseHTTPResponse,
     ) -> None:
         """Keep a connection after its whole answer, if it may be reused."""
@@ -337,7 +361,7 @@
         else:
             connection.close()
 
-    def _keep(self, connection: urllib3.connection.HTTPConnection) -> None:
+    def _keep(self, connection: boundedhttp.Connection) -> None:
         with self.lock:
             if not self.closed:
                 self.idle.append(_Idle(connection, self.time_now()))
@@ -387,9 +411,9 @@
     return isinstance(error.__cause__, ConnectionRefusedError)
 
 
-def _quiet(connection: urllib3.connection.HTTPConnection) -> bool:
+def _quiet(connection: boundedhttp.Connection) -> bool:
     """Tell whether a kept connection is open and has nothing to read."""
-    if connection.sock is None:
+    if connection.is_closed:
         return False
     poll = select.poll()
     poll.register(connection.sock, select.POLLIN)
--- a/packages/bronzepaddle-store/src/bronzepaddle_store/calls.py
+++ b/packages/bronzepaddle-store/src/bronzepaddle_store/calls.py
@@ -12,7 +12,7 @@
 import typing
 
 import urllib3
-from bronzepaddle import keepalive, logs
+from bronzepaddle import boundedhttp, logs
 
 from bronzepaddle_store import store
 
@@ -65,11 +65,7 @@
         self.counts: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
-        self.pool = urllib3.PoolManager(
-            maxsize=_CONNECTIONS,
-            retries=False,
-            socket_options=keepalive.OPTIONS,
-        )
+        self.pool = boundedhttp.pool_manager(_CONNECTIONS)
         self.threads = concurrent.futures.ThreadPoolExecutor(
             _CALL_THREADS, thread_name_prefix="platform"
         )
@@ -128,7 +124,10 @@
             urllib3.exceptions.ConnectTimeoutError,
         ) as error:
             raise store.StoreDownError(str(error)) from error
-        except urllib3.exceptions.HTTPError as error:
+        except (
+            urllib3.exceptions.HTTPError,
+            boundedhttp.EndlessAnswerError,
+        ) as error:
             if method not in _READING:
                 raise store.LostAnswerError(str(error)) from error
             raise store.StoreDownError(str(error)) from error
--- /dev/null
+++ b/tests/test_endless_answers.py
@@ -0,0 +1,201 @@
+"""Bytes that go on without end, in a head or a body, are cut off."""
+
+import asyncio
+import collections.abc
+import concurrent.futures
+import itertools
+import socket
+import threading
+import time
+import typing
+
+import pytest
+from bronzepaddle import ids, verdicts
+from bronzepaddle_backend import connections
+from bronzepaddle_platform import names, objects
+from bronzepaddle_store import calls, store
+
+HANGS_S: typing.Final = 30.0
+"""Time after which a call is taken to go on without end."""
+
+HEAD: typing.Final = (
+    b"HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nServer-Signature: s\r\n"
+)
+PIECE: typing.Final = b"x" * 0x4000
+
+
+def head_without_end() -> collections.abc.Iterator[bytes]:
+    yield HEAD
+    for number in itertools.count():
+        yield b"X-%d: 1\r\n" % number
+
+
+def interim_answers_without_end() -> collections.abc.Iterator[bytes]:
+    while True:
+        yield b"HTTP/1.1 100 Continue\r\nX-Some: 1\r\n\r\n"
+
+
+def line_without_end() -> collections.abc.Iterator[bytes]:
+    while True:
+        yield PIECE
+
+
+def chunks_without_end() -> collections.abc.Iterator[bytes]:
+    yield HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+    while True:
+        yield b"4000\r\n" + PIECE + b"\r\n"
+
+
+def body_without_length() -> collections.abc.Iterator[bytes]:
+    yield HEAD + b"\r\n"
+    while True:
+        yield PIECE
+
+
+def trickling_head() -> collections.abc.Iterator[bytes]:
+    yield HEAD
+    while True:
+        time.sleep(0.05)
+        yield b"X: 1\r\n"
+
+
+def trickling_body() -> collections.abc.Iterator[bytes]:
+    yield HEAD + b"Content-Length: 1000000\r\n\r\n"
+    while True:
+        time.sleep(0.05)
+        yield b"x"
+
+
+Answer: typing.TypeAlias = collections.abc.Callable[
+    [], collections.abc.Iterator[bytes]
+]
+
+FAST: typing.Final = (
+    head_without_end,
+    interim_answers_without_end,
+    line_without_end,
+    chunks_without_end,
+    body_without_length,
+)
+SLOW: typing.Final = (trickling_head, trickling_body)
+
+
+class Server:
+    """Answers its one connection until the other side closes."""
+
+    def __init__(self, answer: Answer) -> None:
+        self.answer = answer
+        self.listening = socket.create_server(("127.0.0.1", 0))
+        self.closed = threading.Event()
+        self.stopped = False
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    @property
+    def port(self) -> int:
+        """Return where it listens."""
+        return int(self.listening.getsockname()[1])
+
+    def _serve(self) -> None:
+        connection, _ = self.listening.accept()
+        with connection:
+            connection.recv(65536)
+            try:
+                for piece in self.answer():
+                    if self.stopped:
+                        return
+                    connection.sendall(piece)
+            except OSError:
+                self.closed.set()
+
+
+@pytest.fixture
+def started() -> collections.abc.Iterator[list[Server]]:
+    found: list[Server] = []
+    yield found
+    for server in found:
+        server.stopped = True
+
+
+_Result = typing.TypeVar("_Result")
+
+
+def bounded(call: collections.abc.Callable[[], _Result]) -> _Result:
+    """Return what a call does, or fail if it goes on without end."""
+    done: concurrent.futures.Future[_Result] = concurrent.futures.Future()
+
+    def run() -> None:
+        try:
+            done.set_result(call())
+        except Exception as error:
+            done.set_exception(error)
+
+    threading.Thread(target=run, daemon=True).start()
+    return done.result(HANGS_S)
+
+
+def links(port: int) -> connections.Connections:
+    return connections.Connections(
+        ids.MemberId("me"), "127.0.0.1", port, names.SERVERS, time.monotonic
+    )
+
+
+def outgoing(left_s: float) -> connections.Outgoing:
+    return connections.Outgoing(
+        request_id=ids.RequestId("r-1"),
+        caller_service=ids.ServiceName("shop"),
+        run_id="i-1",
+        method="GET",
+        target="/",
+        headers=(),
+        body=b"",
+        deadline=time.monotonic() + left_s,
+        idempotent=True,
+    )
+
+
+@pytest.mark.parametrize(
+    ("answer", "left_s"),
+    [(one, 1000.0) for one in FAST] + [(one, 0.5) for one in SLOW],
+)
+def test_answer_to_a_request(
+    started: list[Server], answer: Answer, left_s: float
+) -> None:
+    server = Server(answer)
+    started.append(server)
+    found = bounded(
+        lambda: links(server.port).send(
+            outgoing(left_s), connections.Cancellation()
+        )
+    )
+    assert found.verdict is verdicts.Verdict.MAY_HAVE_RUN
+    assert server.closed.wait(HANGS_S)
+
+
+@pytest.mark.parametrize("answer", [*FAST, *SLOW])
+def test_answer_to_an_order(started: list[Server], answer: Answer) -> None:
+    """One such answer to a grant stopped all further grants."""
+    server = Server(answer)
+    started.append(server)
+    with pytest.raises(connections.OrderLostError):
+        bounded(lambda: links(server.port).order("/api/grant", b"{}", 0.5))
+    assert server.closed.wait(HANGS_S)
+
+
+@pytest.mark.parametrize("answer", [*FAST, *SLOW])
+def test_answer_of_the_store(started: list[Server], answer: Answer) -> None:
+    server = Server(answer)
+    started.append(server)
+    found = objects.ObjectStore(
+        f"127.0.0.1:{server.port}", 0.5, calls.CallBudget(9)
+    )
+    with pytest.raises(store.StoreDownError):
+        bounded(lambda: asyncio.run(found.get("config/main")))
+    assert server.closed.wait(HANGS_S)
+    found.close()
+
+
+def test_many_answers_at_once_have_a_bound_together() -> None:
+    found = links(1)
+    found._buffer(connections.MOST_BUFFERED_BYTES)
+    with pytest.raises(connections.OddAnswerError):
+        found._buffer(1)
