--- /dev/null
+++ b/tests/test_registry.py
@@ -0,0 +1,43 @@
+"""Reports of servers in trouble."""
+
+import collections.abc
+import itertools
+import socket
+import threading
+import typing
+
+import pytest
+from bronzepaddle import options
+from bronzepaddle_callers import server
+from bronzepaddle_platform import registry
+
+HANGS_S: typing.Final = 30.0
+MOST_SENT: typing.Final = 64 * 1024 * 1024
+
+
+@pytest.fixture
+def port() -> collections.abc.Iterator[int]:
+    root = registry.Registry(lambda _: True, lambda _: None)
+    found = server.HttpServer(
+        root,
+        options.Endpoint("127.0.0.1", 0),
+        server.Limits(2, 16384, 15.0, 1.0),
+    )
+    found.start()
+    yield found.address.port
+    threading.Thread(target=found.stop, daemon=True).start()
+
+
+def test_report_without_end_is_cut_off(port: int) -> None:
+    """It was read to its end, which never came, into memory."""
+    piece = b"4000\r\n" + b"x" * 0x4000 + b"\r\n"
+    with socket.create_connection(("127.0.0.1", port)) as caller:
+        caller.settimeout(HANGS_S)
+        caller.sendall(
+            b"PUT /api/instances/i-1 HTTP/1.1\r\nHost: a\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n"
+        )
+        with pytest.raises(ConnectionError):
+            for sent in itertools.count():
+                assert sent * len(piece) < MOST_SENT
+                caller.sendall(piece)
