--- a/tests/test_platform_forms.py
+++ b/tests/test_platform_forms.py
@@ -135,6 +135,19 @@
         ("routes/0/host", None),
         ("services", "shop"),
         ("limits", 5),
+        ("routes/0/host", ""),
+        ("routes/0/path_prefix", "a/"),
+        ("routes/0/timeout_ms", 0),
+        ("routes/0/timeout_ms", -5),
+        ("routes/0/target_latency_ms", -1),
+        ("routes/0/service", "nobody"),
+        ("routes/1/traffic_split/0/service", "nobody"),
+        ("routes/1/traffic_split/0/weight", -1),
+        (
+            "routes/1/traffic_split",
+            [{"service": "shop", "weight": 0}],
+        ),
+        ("limits/max_body_bytes", -1),
     ],
 )
 def test_malformed_config_is_not_taken(path: str, value: object) -> None:
