Keep statuses small, pace them, and tell no peer always last

A status of the keyed service has 1,993 bytes, 1.8 KB of which name the peers heard before a read; it went to 72 peers in one burst of 144 KB, in the same order each time, on links of 7.5 Mbit/s. What does not fit is lost, always for the last in the order, for whom the sender counts as dead.

Now a run is named by 8 bytes; what only the members of a service need goes to them alone, news of an ownership version too; datagrams leave at under 6 Mbit/s, from another peer on each time; each status says which one it follows, so that a reader knows when it missed one.

New tests: test_announcing.py.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/announcing.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/announcing.py
@@ -1,5 +1,12 @@
 """Tells every other process the status of this one, and takes theirs in.
 
+What a fleet tells itself grows with the square of its size, so statuses are
+kept small: the processes beside servers of the same service (its members)
+get what the keeping of keys needs, all others only what a request needs.
+They leave slowly enough for the link of the smallest VM, and in another order
+each time: where a link is full nevertheless, no peer is always the one that
+goes without.
+
 A process finds the others by the member objects in the store, which it reads
 once after it has written its own: of two that start at the same time, one at
 least sees the other, and whoever hears of a process answers it.
@@ -7,6 +14,7 @@
 
 import asyncio
 import collections.abc
+import enum
 import secrets
 import typing
 
@@ -23,10 +31,21 @@
 FAR_EVERY: typing.Final = 10
 """A peer that is silent is sent every tenth status only."""
 
+PACE_BYTES: typing.Final = 8 * 1024
+PACE_PAUSE_S: typing.Final = 0.012
+"""After each so many bytes there is a pause: under 6 Mbit/s at any time."""
+
 RETRY_S: typing.Final = 0.4
 FOLDER: typing.Final = "members"
 
 
+class Audience(enum.Enum):
+    """Whom a status is meant for."""
+
+    MEMBERS = "members"
+    ALL = "all"
+
+
 class Member(msgspec.Struct, frozen=True):
     """One process as the store lists it."""
 
@@ -59,16 +78,25 @@
         self.interval_s = interval_s
         self.time = time
         self.sequence = 0
+        # The last status that each audience was sent.
+        self.told = {audience: 0 for audience in Audience}
         self.listed: dict[ids.MemberId, cells.Address] = {}
         self.changed = asyncio.Event()
+        self.widest = Audience.MEMBERS
         self.learners: list[
             collections.abc.Callable[[statuses.Status], None]
         ] = []
 
-    def tell_soon(self) -> None:
+    def tell_soon(self, audience: Audience = Audience.ALL) -> None:
         """Send a status now rather than with the next interval."""
+        if audience is Audience.ALL:
+            self.widest = Audience.ALL
         self.changed.set()
 
+    def tell_members_soon(self) -> None:
+        """Send a status now to the members of the same service."""
+        self.tell_soon(Audience.MEMBERS)
+
     def receive(self, status: statuses.Status) -> None:
         """Take a peer's status in."""
         if status.sender == self.roster.myself:
@@ -83,23 +111,73 @@
 
     async def run(self) -> None:
         """Send statuses for ever."""
+        audience = Audience.ALL
         while True:
-            self.send()
+            if audience is Audience.ALL:
+                # What members alone are told does not put this off.
+                due = self.time.now() + self.interval_s
+            await self._send(audience)
             try:
-                async with asyncio.timeout(self.interval_s):
+                async with asyncio.timeout(max(0.0, due - self.time.now())):
                     await self.changed.wait()
             except TimeoutError:
+                audience = Audience.ALL
                 continue
             await self.time.sleep(COALESCE_S)
             self.changed.clear()
-
-    def send(self) -> None:
-        """Send one status to every peer known."""
+            audience, self.widest = self.widest, Audience.MEMBERS
+
+    async def _send(self, audience: Audience) -> None:
+        """Send one status to every peer of an audience, in small parts."""
+        left = PACE_BYTES
+        for address, datagram in self._datagrams(audience):
+            if left < len(datagram):
+                await self.time.sleep(PACE_PAUSE_S)
+                left = PACE_BYTES
+            left -= len(datagram)
+            self.udp.send_sealed(address, datagram)
+
+    def _datagrams(
+        self, audience: Audience
+    ) -> collections.abc.Iterator[tuple[cells.Address, bytes]]:
+        """Yield what is sent to whom, the members of the service first."""
         self.sequence += 1
         status = self.describe(self.sequence)
         now = self.time.now()
         self.roster.learn(status, now)
         self._note_silence(now)
+        targets = self._targets(now)
+        members = [
+            name
+            for name in targets
+            if name in self.roster.peers
+            and self.roster.peers[name].status.service == status.service
+        ]
+        yield from self._each(
+            Audience.MEMBERS, status, [targets.pop(name) for name in members]
+        )
+        if audience is Audience.ALL:
+            short = msgspec.structs.replace(status, read=None, hot=())
+            yield from self._each(audience, short, list(targets.values()))
+
+    def _each(
+        self,
+        audience: Audience,
+        status: statuses.Status,
+        addresses: list[cells.Address],
+    ) -> collections.abc.Iterator[tuple[cells.Address, bytes]]:
+        """Yield the datagram for each address, from another one each time."""
+        follows = self.told[audience]
+        self.told[audience] = status.sequence
+        datagram = self.udp.sealed(
+            msgspec.structs.replace(status, follows=follows)
+        )
+        first = status.sequence % max(1, len(addresses))
+        for address in addresses[first:] + addresses[:first]:
+            yield address, datagram
+
+    def _targets(self, now: float) -> dict[ids.MemberId, cells.Address]:
+        """Return where to send a status, by name."""
         targets = dict(self.listed)
         for name, peer in self.roster.peers.items():
             silent_s = now - peer.heard_at
@@ -111,8 +189,7 @@
             if far and self.sequence % FAR_EVERY:
                 del targets[name]
         targets.pop(self.roster.myself, None)
-        for address in targets.values():
-            self.udp.send(address, status)
+        return targets
 
     def _note_silence(self, now: float) -> None:
         """Log which peers are passed over from now on, or used again."""
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/keeping.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/keeping.py
@@ -75,6 +75,7 @@
         known: roster.Roster,
         orders: collections.abc.Callable[[], granting.Orders | None],
         changed: collections.abc.Callable[[], None],
+        version_changed: collections.abc.Callable[[], None],
         time: clocks.Clock,
     ) -> None:
         self.settings = settings
@@ -84,7 +85,9 @@
         self.roster = known
         self.orders = orders
         self.changed = changed
+        self.version_changed = version_changed
         self.time = time
+        self.own_run = statuses.run_of(settings.name, settings.incarnation)
         self.lease = storeleases.StoreLease(settings.times)
         self.read: Read | None = None
         # The ranges that the object as last read gives to this member.
@@ -206,8 +209,7 @@
         """Return the last status heard of each other member."""
         return tuple(
             statuses.Heard(
-                peer.status.sender,
-                peer.status.incarnation,
+                statuses.run_of(peer.status.sender, peer.status.incarnation),
                 peer.status.sequence,
             )
             for peer in self.roster.of_service(self.settings.service)
@@ -233,9 +235,8 @@
 
     def _read_after(self, read: statuses.ReadAfter | None) -> float | None:
         """Return when we sent the status that a peer's read came after."""
-        mine = (self.settings.name, self.settings.incarnation)
         for one in () if read is None else read.heard:
-            if (one.member, one.incarnation) == mine:
+            if one.run == self.own_run:
                 return self.sent_at.get(one.sequence)
         return None
 
@@ -256,7 +257,7 @@
             token: self.learned.get(token, now) for token in tokens
         }
         if changed:
-            self.changed()
+            self.version_changed()
 
     async def _write(self, after: keyranges.Ownership) -> bool:
         """Write the next version, if what was read is still the newest."""
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/roster.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/roster.py
@@ -35,7 +35,7 @@
         self.heard_at = now
         self.avoid_until = 0.0
         self.logged_alive = True
-        # Statuses of the present run that were sent and never came.
+        # How often a status of the present run did not come.
         self.missed = 0
         self.sent = 0
         self.sent_at_report = 0
@@ -49,7 +49,7 @@
         if status.incarnation == known.incarnation:
             if status.sequence <= known.sequence:
                 return False
-            self.missed += status.sequence - known.sequence - 1
+            self.missed += status.follows > known.sequence
         elif status.started_ms <= known.started_ms and recent:
             # Late word of an earlier run, or its clock was set back.
             return False
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -194,6 +194,7 @@
             self.roster,
             self._orders,
             self.announcer.tell_soon,
+            self.announcer.tell_members_soon,
             self.time,
         )
 
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/datagrams.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/datagrams.py
@@ -93,9 +93,16 @@
 
     def send(self, to: cells.Address, message: _Message) -> None:
         """Send one message; a closed socket sends nothing."""
+        self.send_sealed(to, self.sealed(message))
+
+    def sealed(self, message: _Message) -> bytes:
+        """Return the datagram of a message that goes to several."""
+        return seal(message, self.key)
+
+    def send_sealed(self, to: cells.Address, datagram: bytes) -> None:
+        """Send what ``sealed`` returned."""
         if self.transport is None:
             return
-        datagram = seal(message, self.key)
         self.sent += 1
         self.sent_bytes += len(datagram)
         self.transport.sendto(datagram, (to.host, to.port))
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/statuses.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/statuses.py
@@ -9,6 +9,7 @@
 import typing
 
 import msgspec
+import xxhash
 from bronzepaddle import cells, heat, ids
 
 
@@ -28,11 +29,19 @@
     token: ids.Token
 
 
+Run = typing.NewType("Run", int)
+"""Names one run of a process in few bytes; see ``run_of``."""
+
+
+def run_of(member: ids.MemberId, incarnation: ids.Incarnation) -> Run:
+    """Return the name of one run of a process: 64 bits of a hash."""
+    return Run(xxhash.xxh64_intdigest(f"{member}/{incarnation}".encode()))
+
+
 class Heard(msgspec.Struct, frozen=True, array_like=True):
     """The last status of a peer that came before a read of the store."""
 
-    member: ids.MemberId
-    incarnation: ids.Incarnation
+    run: Run
     sequence: int
 
 
@@ -61,7 +70,10 @@
 class Status(msgspec.Struct, frozen=True, array_like=True):
     """One process at one moment.
 
-    ``sequence`` grows with each status of a run.  ``started_ms`` is the
+    ``sequence`` grows with each status of a run; ``follows`` is that of the
+    status before, of those that were meant for the same reader.  What only
+    the other processes beside servers of the same service need (``hot``,
+    ``read``) is left out of the statuses to all others.  ``started_ms`` is the
     Unix time of the run's start and tells a later run from an earlier one.
     ``run`` names the present run of the backend server, ``slots`` the
     requests that it works on at once, ``outstanding`` those admitted or
@@ -94,6 +106,7 @@
     hot: tuple[heat.Hot, ...] = ()
     read: ReadAfter | None = None
     suspects: tuple[Suspicion, ...] = ()
+    follows: int = 0
 
 
 NO_SERVER: typing.Final = ""
--- a/tests/support/keepers.py
+++ b/tests/support/keepers.py
@@ -68,6 +68,7 @@
             self.roster,
             self._orders,
             lambda: None,
+            lambda: None,
             self.time,
         )
         self.tasks.start(self.keeper.run(lambda: TABLE), "keys")
--- /dev/null
+++ b/tests/test_announcing.py
@@ -0,0 +1,191 @@
+"""What a fleet tells itself fits the links of its smallest VMs."""
+
+import asyncio
+import collections
+import itertools
+import typing
+
+import msgspec
+from bronzepaddle import cells, heat, ids
+from bronzepaddle_node import announcing, roster
+from bronzepaddle_peers import datagrams, statuses
+from bronzepaddle_store import store
+from support import turned
+
+FLEET: typing.Final = 73
+MEMBERS: typing.Final = 30
+RANGES: typing.Final = 17
+
+LINK_BYTES_PER_S: typing.Final = 7_000_000 / 8
+"""The link of the smallest VM."""
+
+WINDOW_S: typing.Final = 0.1
+WHOLE_BYTES: typing.Final = 1400
+"""Bytes that go in one packet on any network."""
+
+SHOP: typing.Final = ids.ServiceName("jefi48a")
+
+
+def status(number: int, sequence: int) -> statuses.Status:
+    """Return the status of a process, as large as they get."""
+    keyed = number < MEMBERS
+    read = statuses.ReadAfter(
+        ids.ObjectVersion(4711),
+        tuple(
+            statuses.Heard(
+                statuses.run_of(
+                    ids.MemberId(str(other)), ids.Incarnation("1")
+                ),
+                100_000,
+            )
+            for other in range(MEMBERS)
+        ),
+    )
+    return statuses.Status(
+        sender=ids.MemberId(f"sidecar-ne-a-{number}"),
+        incarnation=ids.Incarnation("0190c3e0e5b27d1c8a3f5a6b7c8d9e0f"),
+        started_ms=1_778_067_240_468,
+        sequence=sequence,
+        address=cells.Address(f"10.129.0.{number}", 7620),
+        zone=ids.ZoneName("ne-a"),
+        leaving=False,
+        service=SHOP if keyed else ids.ServiceName("ziye50b"),
+        run="i-9046ff59e0@1778067240468",
+        state=statuses.ServerState.READY,
+        slots=3,
+        outstanding=2,
+        service_s=0.123,
+        cold_s=0.0,
+        table_version=ids.BundleVersion(12),
+        ownership_version=ids.ObjectVersion(4711),
+        held=tuple(
+            statuses.HeldRange(one * 2000, one * 2000 + 1999, ids.Token(4000))
+            for one in range(RANGES if keyed else 0)
+        ),
+        asked_rate=12.5,
+        hot=tuple(
+            heat.Hot(one * 16, one * 16 + 15, 1.25)
+            for one in range(heat.MOST_TOLD if keyed else 0)
+        ),
+        read=read if keyed else None,
+    )
+
+
+class Wire(datagrams.Datagrams[statuses.Status]):
+    """Notes what is sent, and when."""
+
+    def __init__(self, loop: turned.TurnedLoop) -> None:
+        super().__init__(b"", statuses.Status, lambda _: None)
+        self.loop = loop
+        self.log: list[tuple[float, cells.Address, bytes]] = []
+
+    def send_sealed(self, to: cells.Address, datagram: bytes) -> None:
+        """Note a datagram."""
+        self.log.append((self.loop.time(), to, datagram))
+
+
+def play(
+    number: int, story: typing.Callable[[announcing.Announcer], None]
+) -> Wire:
+    """Let one process of a fleet that is known send statuses for 10 s."""
+    loop = turned.TurnedLoop()
+    wire = Wire(loop)
+    time = turned.MemberClock(loop, 1.0)
+    known = roster.Roster(status(number, 0).sender, ids.ZoneName("ne-a"))
+    announcer = announcing.Announcer(
+        announcing.Member(status(number, 0).address, 1),
+        known,
+        typing.cast(store.Store, None),
+        wire,
+        lambda sequence: status(number, sequence),
+        0.5,
+        time,
+    )
+
+    async def run() -> None:
+        for other in range(FLEET):
+            known.learn(status(other, 1), time.now())
+        running = asyncio.create_task(announcer.run())
+        for second in range(10):
+            for other in range(FLEET):
+                if other != number:
+                    known.learn(status(other, 2 + second), time.now())
+            story(announcer)
+            await asyncio.sleep(1.0)
+        running.cancel()
+
+    loop.run_until_complete(run())
+    loop.close()
+    return wire
+
+
+def nothing(_: announcing.Announcer) -> None:
+    """Let nothing happen."""
+
+
+def test_no_burst_of_statuses_fills_a_small_link() -> None:
+    """The last of those told in a fixed order never heard of a live owner."""
+    wire = play(0, announcing.Announcer.tell_soon)
+    for at, _, _ in wire.log:
+        sent = sum(
+            len(data)
+            for when, _, data in wire.log
+            if at <= when < at + WINDOW_S
+        )
+        assert sent <= LINK_BYTES_PER_S * WINDOW_S
+
+
+def test_statuses_are_small_and_whole_packets() -> None:
+    wire = play(0, nothing)
+    members = {status(number, 0).address for number in range(MEMBERS)}
+    for _, to, data in wire.log:
+        assert len(data) <= (WHOLE_BYTES if to in members else 600)
+
+
+def test_no_peer_is_always_the_last_to_be_told() -> None:
+    wire = play(40, nothing)
+    rounds: dict[float, list[cells.Address]] = collections.defaultdict(list)
+    for at, to, _ in wire.log:
+        rounds[at].append(to)
+    last = collections.Counter(found[-1] for found in rounds.values())
+    assert max(last.values()) <= len(rounds) / 4
+
+
+def test_every_peer_is_told_as_often_as_before() -> None:
+    wire = play(0, nothing)
+    told = collections.Counter(to for _, to, _ in wire.log)
+    assert len(told) == FLEET - 1
+    assert min(told.values()) >= 18
+
+
+def test_news_of_a_version_goes_to_members_only() -> None:
+    wire = play(0, announcing.Announcer.tell_members_soon)
+    told = collections.Counter(to for _, to, _ in wire.log)
+    assert told[status(1, 0).address] >= 28
+    assert told[status(FLEET - 1, 0).address] <= 21
+
+
+def test_news_for_members_does_not_keep_others_waiting() -> None:
+    def often(announcer: announcing.Announcer) -> None:
+        for tenth in range(10):
+            asyncio.get_running_loop().call_later(
+                tenth / 10, announcer.tell_members_soon
+            )
+
+    wire = play(0, often)
+    told = collections.Counter(to for _, to, _ in wire.log)
+    assert told[status(FLEET - 1, 0).address] >= 18
+
+
+def test_a_reader_sees_whether_it_missed_a_status() -> None:
+    wire = play(0, announcing.Announcer.tell_members_soon)
+    for reader in (status(1, 0), status(FLEET - 1, 0)):
+        told = [
+            msgspec.msgpack.decode(
+                data[datagrams.CODE_BYTES :], type=statuses.Status
+            )
+            for _, to, data in wire.log
+            if to == reader.address
+        ]
+        for before, after in itertools.pairwise(told):
+            assert after.follows == before.sequence
