Ask peers whose statuses do not come before they count as lost

Cause: statuses go by datagrams, which are lost where a link is full, and silence of 1.7 s counted as knowledge. Replies of the same peer on its stream counted for nothing.

Now a peer that has been silent for 0.8 s is asked on its stream, where nothing is lost, and tells its status there; each reply with its load is a sign of life. Tests: test_streams.py, the last two of test_announcing.py. The lines keep the age of the status itself. Statuses in tests now come from one place.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/announcing.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/announcing.py
@@ -35,6 +35,13 @@
 PACE_PAUSE_S: typing.Final = 0.012
 """After each so many bytes there is a pause: under 6 Mbit/s at any time."""
 
+ASK_AFTER_S: typing.Final = 0.8
+"""Silence after which a peer is asked: more than one status is missing."""
+
+ASK_OFTEN_S: typing.Final = 4.0
+"""Silence up to which it is asked each time, and then as seldom as it is
+sent statuses."""
+
 RETRY_S: typing.Final = 0.4
 FOLDER: typing.Final = "members"
 
@@ -57,6 +64,12 @@
 """Makes this process's status with a given sequence number."""
 
 
+Ask: typing.TypeAlias = collections.abc.Callable[
+    [ids.MemberId, cells.Address], None
+]
+"""Asks a peer for its status by a way on which nothing is lost."""
+
+
 class Announcer:
     """The sending and the taking in of statuses."""
 
@@ -69,7 +82,9 @@
         describe: Describe,
         interval_s: float,
         time: clocks.Clock,
+        ask: Ask,
     ) -> None:
+        self.ask = ask
         self.member = member
         self.roster = known
         self.objects = objects
@@ -78,6 +93,7 @@
         self.interval_s = interval_s
         self.time = time
         self.sequence = 0
+        self.rounds = 0
         # The last status that each audience was sent.
         self.told = {audience: 0 for audience in Audience}
         self.listed: dict[ids.MemberId, cells.Address] = {}
@@ -142,10 +158,14 @@
     ) -> collections.abc.Iterator[tuple[cells.Address, bytes]]:
         """Yield what is sent to whom, the members of the service first."""
         self.sequence += 1
+        # Not every status is for all, so sequences may skip any number.
+        self.rounds += audience is Audience.ALL
         status = self.describe(self.sequence)
         now = self.time.now()
         self.roster.learn(status, now)
         self._note_silence(now)
+        if audience is Audience.ALL:
+            self._ask_silent(now)
         targets = self._targets(now)
         members = [
             name
@@ -186,11 +206,31 @@
                 continue
             targets[name] = peer.status.address
             far = silent_s > FAR_EVERY * self.interval_s
-            if far and self.sequence % FAR_EVERY:
+            if far and self.rounds % FAR_EVERY:
                 del targets[name]
         targets.pop(self.roster.myself, None)
         return targets
 
+    def current(self) -> statuses.Status:
+        """Return the status as of now, for a peer that asks for it."""
+        self.sequence += 1
+        return self.describe(self.sequence)
+
+    def _ask_silent(self, now: float) -> None:
+        """Ask peers whose statuses do not come, at first each time.
+
+        Datagrams are lost where a link is full; that is no proof of an end.
+        """
+        for name, peer in self.roster.peers.items():
+            silent_s = now - peer.heard_at
+            if not ASK_AFTER_S <= silent_s <= roster.FORGET_S:
+                continue
+            if name == self.roster.myself:
+                continue
+            often = silent_s < ASK_OFTEN_S
+            if often or self.rounds % FAR_EVERY == 0:
+                self.ask(name, peer.status.address)
+
     def _note_silence(self, now: float) -> None:
         """Log which peers are passed over from now on, or used again."""
         for name, peer in self.roster.peers.items():
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/roster.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/roster.py
@@ -32,7 +32,9 @@
 
     def __init__(self, status: statuses.Status, now: float) -> None:
         self.status = status
+        # When it was heard of at all, and when its status came.
         self.heard_at = now
+        self.status_at = now
         self.avoid_until = 0.0
         self.logged_alive = True
         # How often a status of the present run did not come.
@@ -45,7 +47,7 @@
     def learn(self, status: statuses.Status, now: float) -> bool:
         """Take a status in; return whether it is newer."""
         known = self.status
-        recent = now - self.heard_at < LATE_S
+        recent = now - self.status_at < LATE_S
         if status.incarnation == known.incarnation:
             if status.sequence <= known.sequence:
                 return False
@@ -54,7 +56,7 @@
             # Late word of an earlier run, or its clock was set back.
             return False
         self.status = status
-        self.heard_at = now
+        self.heard_at = self.status_at = now
         self.report(status.outstanding, status.service_s)
         return True
 
@@ -165,6 +167,7 @@
         """Take the load that came with a reply, or the want of one."""
         peer.sent -= 1
         if reply.reported:
+            peer.heard_at = max(peer.heard_at, now)
             peer.report(reply.outstanding, reply.service_s)
         elif peer.status.sender != self.myself:
             peer.avoid_until = now + AVOID_S
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
@@ -318,7 +318,7 @@
             return self._refuse(why, retry_after_s=RETRY_AFTER_S)
         member = peer.status.sender
         progress.tried.add(member)
-        heard_ago_s, load = now - peer.heard_at, peer.load()
+        heard_ago_s, load = now - peer.status_at, peer.load()
         answer = await self._send(peer, self._ask(progress, peer, left_s))
         progress.sends.append(
             logs.Send(
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -150,7 +150,9 @@
             self._status,
             settings.status_s,
             self.time,
+            self.peers.ask_status,
         )
+        self.peers.hear = self.announcer.receive
         self.configuration = configuration.Configuration(
             config.OBJECT,
             self.store,
@@ -213,7 +215,9 @@
 
     async def _serve_peers(self) -> None:
         service = streams.Service(
-            self.serving.handle, self.configuration.answer
+            self.serving.handle,
+            self.configuration.answer,
+            self.announcer.current,
         )
         self.grpc = streams.server(service)
         where = self.settings.peers
@@ -390,7 +394,7 @@
         now = self.time.now()
         queue = self.serving.queue()
         ages = [
-            now - peer.heard_at
+            now - peer.status_at
             for peer in list(self.roster.peers.values())
             if peer.status.sender != self.settings.name
             and self.roster.alive(peer, now)
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/exchanges.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/exchanges.py
@@ -9,6 +9,8 @@
 import msgspec
 from bronzepaddle import ids
 
+from bronzepaddle_peers import statuses
+
 PIECE_BYTES: typing.Final = 32 * 1024
 """Bodies of answers travel in pieces, so that small answers get between."""
 
@@ -52,6 +54,16 @@
     number: int
 
 
+class AskStatus(msgspec.Struct, frozen=True, tag="status?", array_like=True):
+    """Asks a peer whose heartbeats do not come how it is."""
+
+
+class Told(msgspec.Struct, frozen=True, tag="status", array_like=True):
+    """The answer to ``AskStatus``."""
+
+    status: statuses.Status
+
+
 class Head(msgspec.Struct, frozen=True, tag="head", array_like=True):
     """An answer with the first piece of its body; more pieces may follow.
 
@@ -80,5 +92,5 @@
     more: bool
 
 
-Upward: typing.TypeAlias = Ask | Cancel | Ping
-Downward: typing.TypeAlias = Head | Piece | Ping
+Upward: typing.TypeAlias = Ask | Cancel | Ping | AskStatus
+Downward: typing.TypeAlias = Head | Piece | Ping | Told
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/streams.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/streams.py
@@ -65,11 +65,18 @@
         self.sent = False
 
 
+Hear: typing.TypeAlias = collections.abc.Callable[[statuses.Status], None]
+"""Takes in a status that came by a stream."""
+
+
 class _Line:
     """The stream to one run of a peer, with what is outstanding on it."""
 
-    def __init__(self, member: ids.MemberId, address: cells.Address) -> None:
+    def __init__(
+        self, member: ids.MemberId, address: cells.Address, hear: Hear
+    ) -> None:
         self.member = member
+        self.hear = hear
         self.channel = grpclib.client.Channel(
             address.host, address.port, codec=codec.MsgpackCodec()
         )
@@ -156,6 +163,8 @@
                     self._begin(message)
                 case exchanges.Piece():
                     self._go_on(message)
+                case exchanges.Told(status):
+                    self.hear(status)
 
     def _begin(self, head: exchanges.Head) -> None:
         pending = self.pending.get(head.number)
@@ -229,9 +238,13 @@
 
 
 class Client:
-    """The streams of this process to its peers; for the event loop only."""
+    """The streams of this process to its peers; for the event loop only.
+
+    ``hear`` is set by whoever asks for statuses.
+    """
 
     def __init__(self) -> None:
+        self.hear: Hear = lambda _status: None
         self.lines: dict[ids.MemberId, _Line] = {}
         self.places: dict[ids.MemberId, cells.Address] = {}
         self.number = 0
@@ -248,12 +261,7 @@
         ask: exchanges.Ask,
     ) -> Reply:
         """Return the peer's reply; cancelling it cancels the request."""
-        line = self.lines.get(member)
-        if line is None or line.closed or self.places[member] != address:
-            self.forget(member)
-            line = _Line(member, address)
-            self.lines[member] = line
-            self.places[member] = address
+        line = self._line(member, address)
         pending = _Pending(asyncio.get_running_loop().create_future())
         line.ask(ask, pending)
         try:
@@ -262,6 +270,21 @@
             if line.pending.pop(ask.number, None) is not None:
                 line.out.put_nowait(exchanges.Cancel(ask.number))
 
+    def ask_status(self, member: ids.MemberId, address: cells.Address) -> None:
+        """Ask a peer how it is; ``hear`` takes the answer, if one comes."""
+        line = self._line(member, address)
+        line.out.put_nowait(exchanges.AskStatus())
+
+    def _line(self, member: ids.MemberId, address: cells.Address) -> _Line:
+        """Return the stream to a peer, a new one if there is none."""
+        line = self.lines.get(member)
+        if line is None or line.closed or self.places[member] != address:
+            self.forget(member)
+            line = _Line(member, address, lambda status: self.hear(status))
+            self.lines[member] = line
+            self.places[member] = address
+        return line
+
     def forget(self, member: ids.MemberId) -> None:
         """Close the stream to a peer that is gone or has a new address."""
         line = self.lines.pop(member, None)
@@ -300,6 +323,9 @@
         self.lines.clear()
 
 
+Describe: typing.TypeAlias = collections.abc.Callable[[], statuses.Status]
+"""Returns the status of this process as of now."""
+
 Config: typing.TypeAlias = collections.abc.Callable[
     [statuses.ConfigRequest], statuses.ConfigReply
 ]
@@ -308,9 +334,12 @@
 class Service:
     """The receiving side: serves the requests of peers."""
 
-    def __init__(self, handle: Handle, config: Config) -> None:
+    def __init__(
+        self, handle: Handle, config: Config, describe: Describe
+    ) -> None:
         self.handle = handle
         self.config = config
+        self.describe = describe
 
     def __mapping__(self) -> dict[str, grpclib.const.Handler]:
         """Return the handlers by path, as grpclib asks for them."""
@@ -353,6 +382,8 @@
                             running[number].cancel()
                     case exchanges.Ping():
                         out.put_nowait(message)
+                    case exchanges.AskStatus():
+                        out.put_nowait(exchanges.Told(self.describe()))
         finally:
             # The asker is gone: nobody wants these answers any more.
             for task in [*running.values(), writing]:
--- /dev/null
+++ b/tests/support/told.py
@@ -0,0 +1,32 @@
+"""Statuses for tests: one plain one, and others that differ from it."""
+
+import typing
+
+import msgspec
+from bronzepaddle import cells, ids
+from bronzepaddle_peers import statuses
+
+PLAIN: typing.Final = statuses.Status(
+    sender=ids.MemberId("b"),
+    incarnation=ids.Incarnation("1"),
+    started_ms=1,
+    sequence=1,
+    address=cells.Address("127.0.0.1", 1),
+    zone=ids.ZoneName("zone"),
+    leaving=False,
+    service=ids.ServiceName("shop"),
+    run="s@1",
+    state=statuses.ServerState.READY,
+    slots=3,
+    outstanding=0,
+    service_s=0.1,
+    cold_s=0.0,
+    table_version=ids.BundleVersion(1),
+    ownership_version=ids.NO_VERSION,
+    held=(),
+)
+
+
+def status(**changes: object) -> statuses.Status:
+    """Return the plain status with some fields changed."""
+    return msgspec.structs.replace(PLAIN, **changes)
--- a/tests/test_announcing.py
+++ b/tests/test_announcing.py
@@ -77,6 +77,7 @@
     def __init__(self, loop: turned.TurnedLoop) -> None:
         super().__init__(b"", statuses.Status, lambda _: None)
         self.loop = loop
+        self.asked: list[ids.MemberId] = []
         self.log: list[tuple[float, cells.Address, bytes]] = []
 
     def send_sealed(self, to: cells.Address, datagram: bytes) -> None:
@@ -90,6 +91,7 @@
     """Let one process of a fleet that is known send statuses for 10 s."""
     loop = turned.TurnedLoop()
     wire = Wire(loop)
+    asked = wire.asked
     time = turned.MemberClock(loop, 1.0)
     known = roster.Roster(status(number, 0).sender, ids.ZoneName("ne-a"))
     announcer = announcing.Announcer(
@@ -100,6 +102,7 @@
         lambda sequence: status(number, sequence),
         0.5,
         time,
+        lambda name, _address: asked.append(name),
     )
 
     async def run() -> None:
@@ -189,3 +192,25 @@
         ]
         for before, after in itertools.pairwise(told):
             assert after.follows == before.sequence
+
+
+def silent_for(number: int, silent_s: float) -> list[ids.MemberId]:
+    """Return who is asked while one peer has been silent for a while."""
+
+    def story(announcer: announcing.Announcer) -> None:
+        peer = announcer.roster.peers[status(number, 0).sender]
+        peer.heard_at = announcer.time.now() - silent_s
+
+    return play(0, story).asked
+
+
+def test_peer_whose_statuses_do_not_come_is_asked() -> None:
+    """Those with full links were passed over for lost, and were not."""
+    asked = collections.Counter(silent_for(7, 1.0))
+    assert set(asked) == {status(7, 0).sender}
+    assert asked[status(7, 0).sender] >= 10
+
+
+def test_peer_that_is_silent_for_long_is_asked_seldom() -> None:
+    asked = collections.Counter(silent_for(7, 60.0))
+    assert 1 <= asked[status(7, 0).sender] <= 4
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -10,7 +10,7 @@
 from bronzepaddle_node import configuration
 from bronzepaddle_peers import statuses, streams
 from bronzepaddle_store import store
-from support import turned
+from support import told, turned
 
 CONFIG_S: typing.Final = 2.0
 """Bound on the time from a confirmed change to its being in force."""
@@ -137,24 +137,10 @@
 
 
 def _status(number: int, version: ids.BundleVersion) -> statuses.Status:
-    return statuses.Status(
+    return told.status(
         sender=ids.MemberId(str(number)),
-        incarnation=ids.Incarnation("1"),
-        started_ms=1,
-        sequence=1,
         address=cells.Address("", number),
-        zone=ids.ZoneName("zone"),
-        leaving=False,
-        service=ids.ServiceName("shop"),
-        run="",
-        state=statuses.ServerState.ABSENT,
-        slots=0,
-        outstanding=0,
-        service_s=0.0,
-        cold_s=0.0,
         table_version=version,
-        ownership_version=ids.NO_VERSION,
-        held=(),
     )
 
 
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -5,9 +5,10 @@
 import msgspec
 import pytest
 import test_keyranges
-from bronzepaddle import cells, heat, ids, keyranges
+from bronzepaddle import heat, ids, keyranges
 from bronzepaddle_node import planning, roster
 from bronzepaddle_peers import statuses
+from support import told
 
 NOW: typing.Final = 100.0
 HALVES: typing.Final = keyranges.moved(
@@ -19,24 +20,12 @@
 def status(
     holder: keyranges.Holder, rate: float, *hot: heat.Hot
 ) -> statuses.Status:
-    return statuses.Status(
+    return told.status(
         sender=holder.member,
-        incarnation=ids.Incarnation("1"),
-        started_ms=1,
-        sequence=1,
-        address=cells.Address("h", 1),
-        zone=ids.ZoneName("z"),
-        leaving=False,
         service=test_keyranges.SERVICE,
         run=holder.run,
-        state=statuses.ServerState.READY,
         slots=10,
-        outstanding=0,
-        service_s=0.1,
-        cold_s=0.0,
-        table_version=ids.BundleVersion(1),
         ownership_version=ids.ObjectVersion(1),
-        held=(),
         asked_rate=rate,
         hot=hot,
     )
--- /dev/null
+++ b/tests/test_streams.py
@@ -0,0 +1,49 @@
+"""What streams between processes carry besides requests."""
+
+import asyncio
+import typing
+
+from bronzepaddle import cells, ids, verdicts
+from bronzepaddle_node import listening, roster
+from bronzepaddle_peers import exchanges, statuses, streams
+from support import told
+
+WAIT_S: typing.Final = 30.0
+
+
+def test_peer_that_is_asked_tells_its_status() -> None:
+    async def handle(_ask: exchanges.Ask) -> streams.Reply:
+        raise NotImplementedError
+
+    def config(_request: statuses.ConfigRequest) -> statuses.ConfigReply:
+        raise NotImplementedError
+
+    async def play() -> statuses.Status:
+        heard: asyncio.Future[statuses.Status] = asyncio.Future()
+        server = streams.server(
+            streams.Service(handle, config, lambda: told.status(sequence=9))
+        )
+        socket = listening.tcp_socket("127.0.0.1", 0)
+        await server.start(sock=socket)
+        client = streams.Client()
+        client.hear = heard.set_result
+        host, port = socket.getsockname()
+        client.ask_status(told.PLAIN.sender, cells.Address(host, port))
+        try:
+            async with asyncio.timeout(WAIT_S):
+                return await heard
+        finally:
+            await client.close()
+            server.close()
+
+    assert asyncio.run(play()) == told.status(sequence=9)
+
+
+def test_reply_counts_as_a_sign_of_life_but_not_as_a_status() -> None:
+    known = roster.Roster(ids.MemberId("a"), ids.ZoneName("zone"))
+    known.learn(told.PLAIN, 0.0)
+    peer = known.peers[told.PLAIN.sender]
+    answer = typing.cast(typing.Any, verdicts.Verdict.RAN)
+    known.note_reply(peer, streams.Reply(answer, 1, 0.1, True), 5.0)
+    assert known.alive(peer, 5.5)
+    assert peer.status_at == 0.0
--- a/tests/test_trackers.py
+++ b/tests/test_trackers.py
@@ -4,10 +4,11 @@
 import typing
 
 import msgspec
-from bronzepaddle import cells, ids
+from bronzepaddle import ids
 from bronzepaddle_backend import servers
 from bronzepaddle_node import roster
 from bronzepaddle_peers import statuses
+from support import told
 
 INTERVAL_S: typing.Final = 1.0
 SERVICE: typing.Final = ids.ServiceName("lots")
@@ -86,23 +87,13 @@
     assert found.seen.drained_at == 1.0
 
 
-STATUS: typing.Final = statuses.Status(
+STATUS: typing.Final = told.status(
     sender=ids.MemberId("a"),
     incarnation=ids.Incarnation("first"),
     started_ms=1000,
     sequence=7,
-    address=cells.Address("127.0.0.1", 1),
-    zone=ids.ZoneName("zone"),
-    leaving=False,
     service=SERVICE,
     run="i-1@1",
-    state=statuses.ServerState.READY,
-    slots=9,
-    outstanding=0,
-    service_s=0.0,
-    cold_s=0.0,
-    table_version=ids.BundleVersion(1),
-    ownership_version=ids.NO_VERSION,
     held=(statuses.HeldRange(10, 19, ids.Token(3)),),
 )
 
--- a/tests/test_vitals.py
+++ b/tests/test_vitals.py
@@ -4,43 +4,20 @@
 import typing
 
 import eliot
-from bronzepaddle import cells, ids
+from bronzepaddle import ids
 from bronzepaddle_node import roster, vitals
-from bronzepaddle_peers import statuses
-from support import turned
+from support import told, turned
 
 STANDING: typing.Final = vitals.Standing(
     vitals.Traffic(1, 100, 2, 200, 3), {("GET", "200"): 5}, 4, 0.5
 )
 
 
-def status(sequence: int, follows: int) -> statuses.Status:
-    return statuses.Status(
-        sender=ids.MemberId("b"),
-        incarnation=ids.Incarnation("1"),
-        started_ms=1,
-        sequence=sequence,
-        address=cells.Address("127.0.0.1", 1),
-        zone=ids.ZoneName("zone"),
-        leaving=False,
-        service=ids.ServiceName("shop"),
-        run="s@1",
-        state=statuses.ServerState.READY,
-        slots=3,
-        outstanding=0,
-        service_s=0.1,
-        cold_s=0.0,
-        table_version=ids.BundleVersion(1),
-        ownership_version=ids.NO_VERSION,
-        held=(),
-        follows=follows,
-    )
-
-
 def test_statuses_that_never_came_are_counted() -> None:
     known = roster.Roster(ids.MemberId("a"), ids.ZoneName("zone"))
     for sequence, follows in ((1, 0), (3, 1), (7, 5), (8, 7), (6, 5)):
-        known.learn(status(sequence, follows), 0.0)
+        status = told.status(sequence=sequence, follows=follows)
+        known.learn(status, 0.0)
     assert known.peers[ids.MemberId("b")].missed == 1
 
 
