Count the body of a store's answer as a body

The pool read the body before it returned the head, so all of it counted as head.

Now calls to the store ask for the head first. The new case of test_endless_answers.py, a document of 900 KB, failed before.

--- a/packages/bronzepaddle-store/src/bronzepaddle_store/calls.py
+++ b/packages/bronzepaddle-store/src/bronzepaddle_store/calls.py
@@ -116,9 +116,17 @@
     ) -> urllib3.BaseHTTPResponse:
         timeout = urllib3.Timeout(connect=self.timeout_s, read=timeout_s)
         try:
-            return self.pool.request(
-                method, url, body=body, headers=headers, timeout=timeout
+            response = self.pool.request(
+                method,
+                url,
+                body=body,
+                headers=headers,
+                timeout=timeout,
+                preload_content=False,
             )
+            # Read on this thread and kept, within the bounds of a body.
+            _ = response.data
+            return response
         except (
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
--- a/packages/bronzepaddle/src/bronzepaddle/boundedhttp.py
+++ b/packages/bronzepaddle/src/bronzepaddle/boundedhttp.py
@@ -46,7 +46,11 @@
 
 
 class Connection(urllib3.connection.HTTPConnection):
-    """One connection; ``timeout`` bounds each whole answer."""
+    """One connection; ``timeout`` bounds each whole answer.
+
+    Requests have to ask for ``preload_content=False``: what is read before
+    the head is returned counts as head.
+    """
 
     sock: Socket
 
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -9,6 +9,7 @@
 import time
 import typing
 
+import msgspec
 import pytest
 from bronzepaddle import ids, verdicts
 from bronzepaddle_backend import connections
@@ -194,6 +195,28 @@
     found.close()
 
 
+def test_large_document_of_the_store_is_whole(started: list[Server]) -> None:
+    """Its body was counted by the bound for heads."""
+    spec = msgspec.json.encode({"text": "x" * 900_000})
+    body = b'{"metadata":{"name":"main","revision":7},"spec":%b}' % spec
+    server = Server(
+        lambda: iter(
+            [
+                b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body),
+                body,
+            ]
+        )
+    )
+    started.append(server)
+    found = objects.ObjectStore(
+        f"127.0.0.1:{server.port}", 20.0, calls.CallBudget(9)
+    )
+    read = bounded(lambda: asyncio.run(found.get("config/main")))
+    assert read is not None
+    assert read.body == spec
+    found.close()
+
+
 def test_many_answers_at_once_have_a_bound_together() -> None:
     found = links(1)
     found._buffer(connections.MOST_BUFFERED_BYTES)
