Let large answers leave at the rate of the VM's link, small ones past them

Cause: their six servers stand beside processes that also send downloads of 90 KB over links of 7.5 Mbit/s, three quarters full; each answer queued behind whole downloads that had been written to the link.

Now pieces of more than 4 KiB wait in the process, so that at most nine tenths of the link's rate leave, and pieces are of 16 KiB; small answers go at once. The rate comes from the settings ([peers] link-mbps); without it nothing waits.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -28,7 +28,7 @@
 )
 from bronzepaddle_backend import granting, servers
 from bronzepaddle_callers import intake, server
-from bronzepaddle_peers import datagrams, statuses, streams
+from bronzepaddle_peers import datagrams, pacing, statuses, streams
 from bronzepaddle_platform import config, names, objects, orders, registry
 from bronzepaddle_store import calls
 
@@ -218,6 +218,7 @@
             self.serving.handle,
             self.configuration.answer,
             self.announcer.current,
+            pacing.Pacer(self.settings.link_mbps, self.time),
         )
         self.grpc = streams.server(service)
         where = self.settings.peers
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/exchanges.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/exchanges.py
@@ -11,7 +11,7 @@
 
 from bronzepaddle_peers import statuses
 
-PIECE_BYTES: typing.Final = 32 * 1024
+PIECE_BYTES: typing.Final = 16 * 1024
 """Bodies of answers travel in pieces, so that small answers get between."""
 
 
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/streams.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/streams.py
@@ -19,7 +19,7 @@
 import grpclib.server
 from bronzepaddle import answers, cells, ids, keepalive, logs, verdicts
 
-from bronzepaddle_peers import client, codec, exchanges, statuses
+from bronzepaddle_peers import client, codec, exchanges, pacing, statuses
 
 PATH: typing.Final = "/bronzepaddle.Requests/"
 
@@ -335,11 +335,16 @@
     """The receiving side: serves the requests of peers."""
 
     def __init__(
-        self, handle: Handle, config: Config, describe: Describe
+        self,
+        handle: Handle,
+        config: Config,
+        describe: Describe,
+        pacer: pacing.Pacer,
     ) -> None:
         self.handle = handle
         self.config = config
         self.describe = describe
+        self.pacer = pacer
 
     def __mapping__(self) -> dict[str, grpclib.const.Handler]:
         """Return the handlers by path, as grpclib asks for them."""
@@ -396,6 +401,7 @@
     ) -> None:
         reply = await self.handle(ask)
         for message in _messages(ask.number, reply):
+            await self.pacer.wait(len(message.piece))
             out.put_nowait(message)
 
 
@@ -419,7 +425,7 @@
 
 def _messages(
     number: int, reply: Reply
-) -> collections.abc.Iterator[exchanges.Downward]:
+) -> collections.abc.Iterator[exchanges.Head | exchanges.Piece]:
     """Yield an answer's messages; its body is cut into pieces."""
     answer = reply.answer
     body = b"".join(answer.body)
--- a/packages/bronzepaddle/src/bronzepaddle/sidecar_options.py
+++ b/packages/bronzepaddle/src/bronzepaddle/sidecar_options.py
@@ -22,7 +22,7 @@
     "callers": ("listen", "threads"),
     "ready": ("listen",),
     "control": ("listen",),
-    "peers": ("listen", "status-s"),
+    "peers": ("listen", "status-s", "link-mbps"),
     "platform": ("form", "address", "timeout-s", "calls-per-minute"),
     "backend": ("announce-ms", "threads"),
     "keys": ("lease-s", "read-s", "most-hold-ms"),
@@ -41,7 +41,8 @@
     ``service`` is that of the backend server on the same VM; ``first_start``
     tells that the whole system starts for the first time.  ``grace_s`` is
     the time between the request to stop and the end.  ``retry_slack`` is the
-    number of second sends that all processes share beyond ``retry_share``.
+    number of second sends that all processes share beyond ``retry_share``;
+    ``link_mbps`` is the bandwidth of the VM's link, None if not told.
     """
 
     name: ids.MemberId
@@ -55,6 +56,7 @@
     control: options.Endpoint
     peers: options.Endpoint
     status_s: float
+    link_mbps: float | None
     store: options.Endpoint
     store_timeout_s: float
     store_calls_per_minute: int
@@ -108,6 +110,11 @@
             control=self.endpoint("control"),
             peers=self.endpoint("peers"),
             status_s=self.number("peers", "status-s", 0.5, 0.05, 10.0),
+            link_mbps=(
+                self.number("peers", "link-mbps", 1000.0, 0.1, 1e6)
+                if self.parser.get("peers", "link-mbps", fallback="")
+                else None
+            ),
             store=self.endpoint("platform", "address"),
             store_timeout_s=self.number(
                 "platform", "timeout-s", 1.0, 0.05, 60.0
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -3,12 +3,13 @@
 import asyncio
 import typing
 
-from bronzepaddle import cells, ids, verdicts
+from bronzepaddle import cells, clocks, ids, verdicts
 from bronzepaddle_node import listening, roster
-from bronzepaddle_peers import exchanges, statuses, streams
+from bronzepaddle_peers import exchanges, pacing, statuses, streams
 from support import told
 
 WAIT_S: typing.Final = 30.0
+UNPACED: typing.Final = pacing.Pacer(None, clocks.BootClock())
 
 
 def test_peer_that_is_asked_tells_its_status() -> None:
@@ -21,7 +22,9 @@
     async def play() -> statuses.Status:
         heard: asyncio.Future[statuses.Status] = asyncio.Future()
         server = streams.server(
-            streams.Service(handle, config, lambda: told.status(sequence=9))
+            streams.Service(
+                handle, config, lambda: told.status(sequence=9), UNPACED
+            )
         )
         socket = listening.tcp_socket("127.0.0.1", 0)
         await server.start(sock=socket)
