--- a/bench/logcost.py
+++ b/bench/logcost.py
@@ -13,7 +13,7 @@
 
 import eliot
 from bronzepaddle import answers, ids, logs, logwriter, verdicts
-from bronzepaddle_node import sidecar_metrics, vitals
+from bronzepaddle_node import runtime_stats, sidecar_metrics
 
 REQUESTS: typing.Final = 20_000
 ROUNDS: typing.Final = 5
@@ -40,7 +40,9 @@
     0.0,
     {},
     0.0,
-    vitals.Standing(vitals.Traffic(0, 0, 0, 0, 0), {}, 0, 0.0),
+    runtime_stats.Snapshot(
+        runtime_stats.DatagramStats(0, 0, 0, 0, 0), {}, 0, 0.0
+    ),
 )
 
 
--- a/packages/bronzepaddle-callers/src/bronzepaddle_callers/server.py
+++ b/packages/bronzepaddle-callers/src/bronzepaddle_callers/server.py
@@ -123,7 +123,7 @@
         """Listen; raises ``OSError`` when the port is taken."""
         self.server.start_threads()
 
-    def unthreaded(self) -> int:
+    def unassigned(self) -> int:
         """Return how many connections wait for a worker thread."""
         waiting: int = self.server.requests.qsize
         return waiting
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/listening.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/listening.py
@@ -15,7 +15,7 @@
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     found = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     found.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    keepalive.guard(found)
+    keepalive.set_options(found)
     try:
         found.bind((host, port))
     except OSError:
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/vitals.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/runtime_stats.py
@@ -21,7 +21,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Traffic:
+class DatagramStats:
     """Datagrams since the start; ``missed`` were sent to us and lost."""
 
     sent: int
@@ -32,25 +32,25 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Standing:
+class Snapshot:
     """What a process knows of its own work at one moment.
 
     ``store_calls`` counts by method and outcome since the start,
-    ``unthreaded`` counts callers' connections that wait for a thread,
+    ``unassigned`` counts callers' connections that wait for a thread,
     ``unconfirmed_s`` is the time since the store last said which
     configuration is the newest.
     """
 
-    traffic: Traffic
+    datagrams: DatagramStats
     store_calls: collections.abc.Mapping[tuple[str, str], int]
-    unthreaded: int
+    unassigned: int
     unconfirmed_s: float
 
 
-Look: typing.TypeAlias = collections.abc.Callable[[], Standing]
+Look: typing.TypeAlias = collections.abc.Callable[[], Snapshot]
 
 
-class Vitals:
+class RuntimeStats:
     """The measuring of one process; for its event loop only."""
 
     def __init__(self, look: Look, time: clocks.Clock) -> None:
@@ -69,11 +69,11 @@
             ticks += 1
             if ticks % LOG_EVERY == 0:
                 now = self.look()
-                logs.vitals(
+                logs.runtime_stats(
                     self.lag_s,
-                    dataclasses.asdict(now.traffic),
+                    dataclasses.asdict(now.datagrams),
                     now.store_calls,
-                    now.unthreaded,
+                    now.unassigned,
                     now.unconfirmed_s,
                 )
                 self.lag_s = 0.0
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -28,7 +28,13 @@
 )
 from bronzepaddle_backend import granting, servers
 from bronzepaddle_callers import intake, server
-from bronzepaddle_peers import datagrams, pacing, statuses, streams
+from bronzepaddle_peers import (
+    datagrams,
+    pacing,
+    statuses,
+    streams,
+    streamservice,
+)
 from bronzepaddle_platform import config, names, objects, orders, registry
 from bronzepaddle_store import calls
 
@@ -41,10 +47,10 @@
     listening,
     roster,
     router,
+    runtime_stats,
     serving,
     sidecar_metrics,
     tasks,
-    vitals,
 )
 
 CONTROL_THREADS: typing.Final = 3
@@ -168,7 +174,9 @@
         )
         self.keeper = self._build_keeper()
         self.announcer.learners.extend((self.configuration.heard, self._heard))
-        self.vitals = vitals.Vitals(self._standing, self.time)
+        self.runtime_stats = runtime_stats.RuntimeStats(
+            self._snapshot, self.time
+        )
         await self._serve_peers()
         self._serve_http()
         start = self.running.start
@@ -176,7 +184,7 @@
         start(self.announcer.run(), "statuses")
         start(self.configuration.run(), "configuration")
         start(self.keeper.run(lambda: self.configuration.table), "keys")
-        start(self.vitals.run(), "vitals")
+        start(self.runtime_stats.run(), "runtime stats")
         logs.process("started", settings.name)
 
     def _build_keeper(self) -> keeping.Keeper:
@@ -214,13 +222,13 @@
         )
 
     async def _serve_peers(self) -> None:
-        service = streams.Service(
+        service = streamservice.Service(
             self.serving.handle,
             self.configuration.answer,
             self.announcer.current,
             pacing.Pacer(self.settings.link_mbps, self.time),
         )
-        self.grpc = streams.server(service)
+        self.grpc = streamservice.server(service)
         where = self.settings.peers
         await self.grpc.start(
             sock=listening.tcp_socket(where.host, where.port)
@@ -375,11 +383,11 @@
             concerned=self.keeper.concerned(),
         )
 
-    def _standing(self) -> vitals.Standing:
+    def _snapshot(self) -> runtime_stats.Snapshot:
         """Return what the log tells of this process's own work."""
         peers = self.roster.peers.values()
-        return vitals.Standing(
-            vitals.Traffic(
+        return runtime_stats.Snapshot(
+            runtime_stats.DatagramStats(
                 self.udp.sent,
                 self.udp.sent_bytes,
                 self.udp.received,
@@ -387,7 +395,7 @@
                 sum(peer.missed for peer in peers),
             ),
             dict(self.store.calls.counts),
-            self.callers.unthreaded(),
+            self.callers.unassigned(),
             self.time.now() - self.configuration.confirmed_at,
         )
 
@@ -415,8 +423,8 @@
             peers_alive=len(ages),
             oldest_status_s=max(ages, default=0.0),
             lines_dropped=dropped,
-            loop_lag_s=self.vitals.lag_s,
-            standing=self._standing(),
+            loop_lag_s=self.runtime_stats.lag_s,
+            snapshot=self._snapshot(),
         )
 
     def reconfigure(self, settings: sidecar_options.SidecarOptions) -> None:
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar_metrics.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar_metrics.py
@@ -14,7 +14,7 @@
 from bronzepaddle import answers, ids
 from bronzepaddle_callers import exchange
 
-from bronzepaddle_node import metrics, vitals
+from bronzepaddle_node import metrics, runtime_stats
 
 LATENCY_BOUNDS_S: typing.Final = (
     0.01,
@@ -58,7 +58,7 @@
     oldest_status_s: float
     lines_dropped: collections.abc.Mapping[str, int]
     loop_lag_s: float
-    standing: vitals.Standing
+    snapshot: runtime_stats.Snapshot
 
 
 Read: typing.TypeAlias = collections.abc.Callable[[], Readings]
@@ -164,29 +164,29 @@
 
 
 def _store_calls(now: Readings) -> _Observations:
-    for (method, outcome), count in now.standing.store_calls.items():
+    for (method, outcome), count in now.snapshot.store_calls.items():
         yield _one(count, {"method": method, "outcome": outcome})
 
 
 def _datagrams(now: Readings) -> _Observations:
-    traffic = now.standing.traffic
+    traffic = now.snapshot.datagrams
     yield _one(traffic.sent, {"way": "sent"})
     yield _one(traffic.received, {"way": "received"})
     yield _one(traffic.missed, {"way": "missed"})
 
 
 def _datagram_bytes(now: Readings) -> _Observations:
-    traffic = now.standing.traffic
+    traffic = now.snapshot.datagrams
     yield _one(traffic.sent_bytes, {"way": "sent"})
     yield _one(traffic.received_bytes, {"way": "received"})
 
 
-def _unthreaded(now: Readings) -> _Observations:
-    yield _one(now.standing.unthreaded)
+def _unassigned(now: Readings) -> _Observations:
+    yield _one(now.snapshot.unassigned)
 
 
 def _unconfirmed(now: Readings) -> _Observations:
-    yield _one(now.standing.unconfirmed_s)
+    yield _one(now.snapshot.unconfirmed_s)
 
 
 def _lines(now: Readings) -> _Observations:
@@ -205,7 +205,7 @@
     ("bronzepaddle.peers.alive", "", _of("peers_alive")),
     ("bronzepaddle.status.oldest", "s", _of("oldest_status_s")),
     ("bronzepaddle.loop.lag", "s", _of("loop_lag_s")),
-    ("bronzepaddle.callers.unthreaded", "", _unthreaded),
+    ("bronzepaddle.callers.unassigned", "", _unassigned),
     ("bronzepaddle.config.unconfirmed", "s", _unconfirmed),
 )
 """Name, unit and observation of each gauge."""
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/streams.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/streams.py
@@ -1,25 +1,19 @@
-"""Carries requests to peers over one kept stream each, and serves theirs.
+"""Carries requests to peers over one kept stream each.
 
-``Client`` is the sending side: one task per peer reads its answers, another
-writes.  ``Service`` is the grpclib service of the receiving side.  When a
-stream breaks, a request that was written to it may have run; one that was
-not has not.
+One task per peer reads its answers, another writes.  ``streamservice`` is the
+receiving side.  When a stream breaks, a request that was written to it may
+have run; one that was not has not.
 """
 
 import asyncio
 import collections.abc
-import contextlib
 import dataclasses
-import functools
 import typing
 
 import grpclib.client
-import grpclib.const
-import grpclib.exceptions
-import grpclib.server
 from bronzepaddle import answers, cells, ids, keepalive, logs, verdicts
 
-from bronzepaddle_peers import client, codec, exchanges, pacing, statuses
+from bronzepaddle_peers import client, codec, exchanges, statuses
 
 PATH: typing.Final = "/bronzepaddle.Requests/"
 
@@ -49,12 +43,6 @@
     reported: bool = False
 
 
-Handle: typing.TypeAlias = collections.abc.Callable[
-    [exchanges.Ask], collections.abc.Awaitable[Reply]
-]
-"""Serves one request; cancelled when its answer is not wanted any more."""
-
-
 class _Pending:
     """One request without its whole answer yet."""
 
@@ -216,7 +204,7 @@
     transport = protocol.connection._transport
     found = transport.get_extra_info("socket")
     if found is not None:
-        keepalive.guard(found)
+        keepalive.set_options(found)
 
 
 def _reply(head: exchanges.Head, pieces: list[bytes]) -> Reply:
@@ -321,134 +309,3 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         self.lines.clear()
-
-
-Describe: typing.TypeAlias = collections.abc.Callable[[], statuses.Status]
-"""Returns the status of this process as of now."""
-
-Config: typing.TypeAlias = collections.abc.Callable[
-    [statuses.ConfigRequest], statuses.ConfigReply
-]
-
-
-class Service:
-    """The receiving side: serves the requests of peers."""
-
-    def __init__(
-        self,
-        handle: Handle,
-        config: Config,
-        describe: Describe,
-        pacer: pacing.Pacer,
-    ) -> None:
-        self.handle = handle
-        self.config = config
-        self.describe = describe
-        self.pacer = pacer
-
-    def __mapping__(self) -> dict[str, grpclib.const.Handler]:
-        """Return the handlers by path, as grpclib asks for them."""
-        return {
-            PATH + "Exchange": grpclib.const.Handler(
-                self.exchange,
-                grpclib.const.Cardinality.STREAM_STREAM,
-                exchanges.Upward,
-                exchanges.Downward,
-            ),
-            PATH + "PullConfig": grpclib.const.Handler(
-                self.pull_config,
-                grpclib.const.Cardinality.UNARY_UNARY,
-                statuses.ConfigRequest,
-                statuses.ConfigReply,
-            ),
-        }
-
-    async def pull_config(self, stream: _Stream) -> None:
-        """Answer ``Client.pull_config``."""
-        request = await stream.recv_message()
-        await stream.send_message(self.config(request))
-
-    async def exchange(self, stream: _Stream) -> None:
-        """Serve one peer's stream until it ends."""
-        out: asyncio.Queue[exchanges.Downward] = asyncio.Queue()
-        running: dict[int, asyncio.Task[None]] = {}
-        writing = asyncio.create_task(_write_out(stream, out))
-        try:
-            while (message := await stream.recv_message()) is not None:
-                match message:
-                    case exchanges.Ask(number=number):
-                        task = asyncio.create_task(self._serve(message, out))
-                        running[number] = task
-                        task.add_done_callback(
-                            functools.partial(_forget, running, number)
-                        )
-                    case exchanges.Cancel(number):
-                        if number in running:
-                            running[number].cancel()
-                    case exchanges.Ping():
-                        out.put_nowait(message)
-                    case exchanges.AskStatus():
-                        out.put_nowait(exchanges.Told(self.describe()))
-        finally:
-            # The asker is gone: nobody wants these answers any more.
-            for task in [*running.values(), writing]:
-                task.cancel()
-
-    async def _serve(
-        self,
-        ask: exchanges.Ask,
-        out: "asyncio.Queue[exchanges.Downward]",
-    ) -> None:
-        reply = await self.handle(ask)
-        for message in _messages(ask.number, reply):
-            await self.pacer.wait(len(message.piece))
-            out.put_nowait(message)
-
-
-def _forget(
-    running: dict[int, asyncio.Task[None]],
-    number: int,
-    _task: asyncio.Task[None],
-) -> None:
-    running.pop(number, None)
-
-
-async def _write_out(
-    stream: _Stream, out: "asyncio.Queue[exchanges.Downward]"
-) -> None:
-    # The reader of the same stream ends too, and with it what it serves;
-    # the asker logs the loss.
-    with contextlib.suppress(*client.BROKEN):
-        while True:
-            await stream.send_message(await out.get())
-
-
-def _messages(
-    number: int, reply: Reply
-) -> collections.abc.Iterator[exchanges.Head | exchanges.Piece]:
-    """Yield an answer's messages; its body is cut into pieces."""
-    answer = reply.answer
-    body = b"".join(answer.body)
-    size = exchanges.PIECE_BYTES
-    yield exchanges.Head(
-        number=number,
-        status=answer.status,
-        headers=answer.headers,
-        verdict=answer.verdict.value,
-        reason=answer.reason.value,
-        retry_after_s=answer.retry_after_s,
-        detail=answer.detail,
-        outstanding=reply.outstanding,
-        service_s=reply.service_s,
-        piece=body[:size],
-        more=len(body) > size,
-    )
-    for start in range(size, len(body), size):
-        yield exchanges.Piece(
-            number, body[start : start + size], start + size < len(body)
-        )
-
-
-def server(service: Service) -> grpclib.server.Server:
-    """Return the grpclib server of a process, not yet listening."""
-    return grpclib.server.Server([service], codec=codec.MsgpackCodec())
--- /dev/null
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/streamservice.py
@@ -0,0 +1,158 @@
+"""Serves the streams on which other processes send their requests.
+
+The receiving side of ``streams``: one task for each stream, and one for each
+request on it.  Small answers go past large ones (see ``pacing``).
+"""
+
+import asyncio
+import collections.abc
+import contextlib
+import functools
+import typing
+
+import grpclib.const
+import grpclib.server
+
+from bronzepaddle_peers import (
+    client,
+    codec,
+    exchanges,
+    pacing,
+    statuses,
+    streams,
+)
+
+Handle: typing.TypeAlias = collections.abc.Callable[
+    [exchanges.Ask], collections.abc.Awaitable[streams.Reply]
+]
+"""Serves one request; cancelled when its answer is not wanted any more."""
+
+Describe: typing.TypeAlias = collections.abc.Callable[[], statuses.Status]
+"""Returns the status of this process as of now."""
+
+Config: typing.TypeAlias = collections.abc.Callable[
+    [statuses.ConfigRequest], statuses.ConfigReply
+]
+
+
+class Service:
+    """The receiving side: serves the requests of peers."""
+
+    def __init__(
+        self,
+        handle: Handle,
+        config: Config,
+        describe: Describe,
+        pacer: pacing.Pacer,
+    ) -> None:
+        self.handle = handle
+        self.config = config
+        self.describe = describe
+        self.pacer = pacer
+
+    def __mapping__(self) -> dict[str, grpclib.const.Handler]:
+        """Return the handlers by path, as grpclib asks for them."""
+        return {
+            streams.PATH + "Exchange": grpclib.const.Handler(
+                self.exchange,
+                grpclib.const.Cardinality.STREAM_STREAM,
+                exchanges.Upward,
+                exchanges.Downward,
+            ),
+            streams.PATH + "PullConfig": grpclib.const.Handler(
+                self.pull_config,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                statuses.ConfigRequest,
+                statuses.ConfigReply,
+            ),
+        }
+
+    async def pull_config(self, stream: typing.Any) -> None:
+        """Answer ``Client.pull_config``."""
+        request = await stream.recv_message()
+        await stream.send_message(self.config(request))
+
+    async def exchange(self, stream: typing.Any) -> None:
+        """Serve one peer's stream until it ends."""
+        out: asyncio.Queue[exchanges.Downward] = asyncio.Queue()
+        running: dict[int, asyncio.Task[None]] = {}
+        writing = asyncio.create_task(_write_out(stream, out))
+        try:
+            while (message := await stream.recv_message()) is not None:
+                match message:
+                    case exchanges.Ask(number=number):
+                        task = asyncio.create_task(self._serve(message, out))
+                        running[number] = task
+                        task.add_done_callback(
+                            functools.partial(_forget, running, number)
+                        )
+                    case exchanges.Cancel(number):
+                        if number in running:
+                            running[number].cancel()
+                    case exchanges.Ping():
+                        out.put_nowait(message)
+                    case exchanges.AskStatus():
+                        out.put_nowait(exchanges.Told(self.describe()))
+        finally:
+            # The asker is gone: nobody wants these answers any more.
+            for task in [*running.values(), writing]:
+                task.cancel()
+
+    async def _serve(
+        self,
+        ask: exchanges.Ask,
+        out: "asyncio.Queue[exchanges.Downward]",
+    ) -> None:
+        reply = await self.handle(ask)
+        for message in _messages(ask.number, reply):
+            await self.pacer.wait(len(message.piece))
+            out.put_nowait(message)
+
+
+def _forget(
+    running: dict[int, asyncio.Task[None]],
+    number: int,
+    _task: asyncio.Task[None],
+) -> None:
+    running.pop(number, None)
+
+
+async def _write_out(
+    stream: typing.Any, out: "asyncio.Queue[exchanges.Downward]"
+) -> None:
+    # The reader of the same stream ends too, and with it what it serves;
+    # the asker logs the loss.
+    with contextlib.suppress(*client.BROKEN):
+        while True:
+            await stream.send_message(await out.get())
+
+
+def _messages(
+    number: int, reply: streams.Reply
+) -> collections.abc.Iterator[exchanges.Head | exchanges.Piece]:
+    """Yield an answer's messages; its body is cut into pieces."""
+    answer = reply.answer
+    body = b"".join(answer.body)
+    size = exchanges.PIECE_BYTES
+    yield exchanges.Head(
+        number=number,
+        status=answer.status,
+        headers=answer.headers,
+        verdict=answer.verdict.value,
+        reason=answer.reason.value,
+        retry_after_s=answer.retry_after_s,
+        detail=answer.detail,
+        outstanding=reply.outstanding,
+        service_s=reply.service_s,
+        piece=body[:size],
+        more=len(body) > size,
+    )
+    for start in range(size, len(body), size):
+        yield exchanges.Piece(
+            number, body[start : start + size], start + size < len(body)
+        )
+
+
+def server(service: Service) -> grpclib.server.Server:
+    """Return the grpclib server of a process, not yet listening."""
+    return grpclib.server.Server([service], codec=codec.MsgpackCodec())
--- a/packages/bronzepaddle/src/bronzepaddle/keepalive.py
+++ b/packages/bronzepaddle/src/bronzepaddle/keepalive.py
@@ -34,7 +34,7 @@
 """Level, name and value of each socket option, as ``urllib3`` takes them."""
 
 
-def guard(connection: socket.socket) -> None:
+def set_options(connection: socket.socket) -> None:
     """Set the options on a TCP socket; a listening one passes them on."""
     for level, name, value in OPTIONS:
         connection.setsockopt(level, name, value)
--- a/packages/bronzepaddle/src/bronzepaddle/logs.py
+++ b/packages/bronzepaddle/src/bronzepaddle/logs.py
@@ -368,19 +368,19 @@
     eliot.log_message(message_type="process", what=what, detail=detail)
 
 
-def vitals(
+def runtime_stats(
     lag_s: float,
     datagrams: collections.abc.Mapping[str, int],
     store_calls: collections.abc.Mapping[tuple[str, str], int],
-    unthreaded: int,
+    unassigned: int,
     unconfirmed_s: float,
 ) -> None:
     """Log how late this process is, and what its heartbeats cost it."""
     eliot.log_message(
-        message_type="vitals",
+        message_type="runtime-stats",
         lag_s=round(lag_s, 3),
         datagrams=dict(datagrams),
         store_calls={" ".join(kind): n for kind, n in store_calls.items()},
-        unthreaded=unthreaded,
+        unassigned=unassigned,
         unconfirmed_s=round(unconfirmed_s, 3),
     )
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -10,7 +10,7 @@
 from bronzepaddle_node import configuration
 from bronzepaddle_peers import statuses, streams
 from bronzepaddle_store import store
-from support import told, turned
+from support import sample_status, turned
 
 CONFIG_S: typing.Final = 2.0
 """Bound on the time from a confirmed change to its being in force."""
@@ -137,7 +137,7 @@
 
 
 def _status(number: int, version: ids.BundleVersion) -> statuses.Status:
-    return told.status(
+    return sample_status.status(
         sender=ids.MemberId(str(number)),
         address=cells.Address("", number),
         table_version=version,
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -8,7 +8,7 @@
 from bronzepaddle import heat, ids, keyranges
 from bronzepaddle_node import planning, roster
 from bronzepaddle_peers import statuses
-from support import told
+from support import sample_status
 
 NOW: typing.Final = 100.0
 HALVES: typing.Final = keyranges.moved(
@@ -20,7 +20,7 @@
 def status(
     holder: keyranges.Holder, rate: float, *hot: heat.Hot
 ) -> statuses.Status:
-    return told.status(
+    return sample_status.status(
         sender=holder.member,
         service=test_keyranges.SERVICE,
         run=holder.run,
--- a/tests/test_vitals.py
+++ b/tests/test_runtime_stats.py
@@ -5,18 +5,18 @@
 
 import eliot
 from bronzepaddle import ids
-from bronzepaddle_node import roster, vitals
-from support import told, turned
+from bronzepaddle_node import roster, runtime_stats
+from support import sample_status, turned
 
-STANDING: typing.Final = vitals.Standing(
-    vitals.Traffic(1, 100, 2, 200, 3), {("GET", "200"): 5}, 4, 0.5
+STANDING: typing.Final = runtime_stats.Snapshot(
+    runtime_stats.DatagramStats(1, 100, 2, 200, 3), {("GET", "200"): 5}, 4, 0.5
 )
 
 
 def test_statuses_that_never_came_are_counted() -> None:
     known = roster.Roster(ids.MemberId("a"), ids.ZoneName("zone"))
     for sequence, follows in ((1, 0), (3, 1), (7, 5), (8, 7), (6, 5)):
-        status = told.status(sequence=sequence, follows=follows)
+        status = sample_status.status(sequence=sequence, follows=follows)
         known.learn(status, 0.0)
     assert known.peers[ids.MemberId("b")].missed == 1
 
@@ -28,7 +28,7 @@
 
     async def play() -> None:
         running = asyncio.create_task(
-            vitals.Vitals(lambda: STANDING, time).run()
+            runtime_stats.RuntimeStats(lambda: STANDING, time).run()
         )
         await asyncio.sleep(0.1)
         # The loop does something else while the clock goes on.
@@ -42,7 +42,7 @@
     finally:
         eliot.remove_destination(messages.append)
         loop.close()
-    lines = [one for one in messages if one["message_type"] == "vitals"]
+    lines = [one for one in messages if one["message_type"] == "runtime-stats"]
     assert len(lines) == 1
     assert 0.8 < lines[0]["lag_s"] < 1.0
     assert lines[0]["datagrams"]["missed"] == 3
--- a/tests/test_sidecar_metrics.py
+++ b/tests/test_sidecar_metrics.py
@@ -5,7 +5,7 @@
 import typing
 
 from bronzepaddle import answers, ids, verdicts
-from bronzepaddle_node import sidecar_metrics, vitals
+from bronzepaddle_node import runtime_stats, sidecar_metrics
 
 PAGE: typing.Final = (
     pathlib.Path(__file__).parent.parent / "docs" / "OPERATIONS.md"
@@ -25,8 +25,8 @@
     oldest_status_s=0.2,
     lines_dropped={"served": 3},
     loop_lag_s=0.03,
-    standing=vitals.Standing(
-        vitals.Traffic(7, 700, 8, 800, 9),
+    snapshot=runtime_stats.Snapshot(
+        runtime_stats.DatagramStats(7, 700, 8, 800, 9),
         {("GET", "200"): 4, ("PUT", "lost"): 1},
         2,
         0.75,
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -5,8 +5,14 @@
 
 from bronzepaddle import cells, clocks, ids, verdicts
 from bronzepaddle_node import listening, roster
-from bronzepaddle_peers import exchanges, pacing, statuses, streams
-from support import told
+from bronzepaddle_peers import (
+    exchanges,
+    pacing,
+    statuses,
+    streams,
+    streamservice,
+)
+from support import sample_status
 
 WAIT_S: typing.Final = 30.0
 UNPACED: typing.Final = pacing.Pacer(None, clocks.BootClock())
@@ -21,9 +27,12 @@
 
     async def play() -> statuses.Status:
         heard: asyncio.Future[statuses.Status] = asyncio.Future()
-        server = streams.server(
-            streams.Service(
-                handle, config, lambda: told.status(sequence=9), UNPACED
+        server = streamservice.server(
+            streamservice.Service(
+                handle,
+                config,
+                lambda: sample_status.status(sequence=9),
+                UNPACED,
             )
         )
         socket = listening.tcp_socket("127.0.0.1", 0)
@@ -31,7 +40,9 @@
         client = streams.Client()
         client.hear = heard.set_result
         host, port = socket.getsockname()
-        client.ask_status(told.PLAIN.sender, cells.Address(host, port))
+        client.ask_status(
+            sample_status.PLAIN.sender, cells.Address(host, port)
+        )
         try:
             async with asyncio.timeout(WAIT_S):
                 return await heard
@@ -39,13 +50,13 @@
             await client.close()
             server.close()
 
-    assert asyncio.run(play()) == told.status(sequence=9)
+    assert asyncio.run(play()) == sample_status.status(sequence=9)
 
 
 def test_reply_counts_as_a_sign_of_life_but_not_as_a_status() -> None:
     known = roster.Roster(ids.MemberId("a"), ids.ZoneName("zone"))
-    known.learn(told.PLAIN, 0.0)
-    peer = known.peers[told.PLAIN.sender]
+    known.learn(sample_status.PLAIN, 0.0)
+    peer = known.peers[sample_status.PLAIN.sender]
     answer = typing.cast(typing.Any, verdicts.Verdict.RAN)
     known.note_reply(peer, streams.Reply(answer, 1, 0.1, True), 5.0)
     assert known.alive(peer, 5.5)
--- a/tests/test_trackers.py
+++ b/tests/test_trackers.py
@@ -8,7 +8,7 @@
 from bronzepaddle_backend import servers
 from bronzepaddle_node import roster
 from bronzepaddle_peers import statuses
-from support import told
+from support import sample_status
 
 INTERVAL_S: typing.Final = 1.0
 SERVICE: typing.Final = ids.ServiceName("lots")
@@ -87,7 +87,7 @@
     assert found.seen.drained_at == 1.0
 
 
-STATUS: typing.Final = told.status(
+STATUS: typing.Final = sample_status.status(
     sender=ids.MemberId("a"),
     incarnation=ids.Incarnation("first"),
     started_ms=1000,
