Tell those who need it less often, the larger the fleet

Each process told each other its status every 0.5 s: 144 datagrams a second in a fleet of 73, 600 in one of 300.

Now a process sends at most some 60 a second to all that do not keep keys with it, and says in each status how often the reader is told, so that its silence is judged by that. Members of a keyed service hear each other every 0.5 s as before; news goes out at once.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/announcing.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/announcing.py
@@ -31,6 +31,10 @@
 FAR_EVERY: typing.Final = 10
 """A peer that is silent is sent every tenth status only."""
 
+MOST_PER_S: typing.Final = 60.0
+"""Datagrams a second to all that are no members: the larger the fleet, the
+seldomer each is told, so that the cost of a process does not grow with it."""
+
 PACE_BYTES: typing.Final = 8 * 1024
 PACE_PAUSE_S: typing.Final = 0.012
 """After each so many bytes there is a pause: under 6 Mbit/s at any time."""
@@ -38,9 +42,12 @@
 ASK_AFTER_S: typing.Final = 0.8
 """Silence after which a peer is asked: more than one status is missing."""
 
-ASK_OFTEN_S: typing.Final = 4.0
-"""Silence up to which it is asked each time, and then as seldom as it is
-sent statuses."""
+ASK_SHARE: typing.Final = 1.5
+"""The same as a multiple of the time between its statuses."""
+
+ASK_OFTEN_S: typing.Final = 3.0
+"""Time for which it is asked each time, and then as seldom as it is sent
+statuses."""
 
 RETRY_S: typing.Final = 0.4
 FOLDER: typing.Final = "members"
@@ -93,7 +100,13 @@
         self.interval_s = interval_s
         self.time = time
         self.sequence = 0
+        # Statuses to all, and looks for silent peers.
         self.rounds = 0
+        self.looks = 0
+        self.all_due = time.now()
+        # Whether this process keeps keys, so that its members need to hear
+        # of it often.
+        self.keyed = False
         # The last status that each audience was sent.
         self.told = {audience: 0 for audience in Audience}
         self.listed: dict[ids.MemberId, cells.Address] = {}
@@ -127,21 +140,38 @@
 
     async def run(self) -> None:
         """Send statuses for ever."""
-        audience = Audience.ALL
         while True:
-            if audience is Audience.ALL:
-                # What members alone are told does not put this off.
-                due = self.time.now() + self.interval_s
-            await self._send(audience)
-            try:
-                async with asyncio.timeout(max(0.0, due - self.time.now())):
-                    await self.changed.wait()
-            except TimeoutError:
-                audience = Audience.ALL
-                continue
-            await self.time.sleep(COALESCE_S)
-            self.changed.clear()
-            audience, self.widest = self.widest, Audience.MEMBERS
+            self._look()
+            now = self.time.now()
+            if now + self.interval_s / 2 >= self.all_due:
+                await self._send(Audience.ALL)
+            elif self.keyed:
+                await self._send(Audience.MEMBERS)
+            while await self._changed_before(now + self.interval_s):
+                audience, self.widest = self.widest, Audience.MEMBERS
+                await self._send(audience)
+
+    async def _changed_before(self, until: float) -> bool:
+        """Wait for news, and a little for more of it; False if none came."""
+        try:
+            async with asyncio.timeout(max(0.0, until - self.time.now())):
+                await self.changed.wait()
+        except TimeoutError:
+            return False
+        await self.time.sleep(COALESCE_S)
+        self.changed.clear()
+        return True
+
+    def _look(self) -> None:
+        """See to the peers of whom nothing is heard."""
+        now = self.time.now()
+        self.looks += 1
+        self._note_silence(now)
+        self._ask_silent(now)
+
+    def _every_s(self) -> float:
+        """Return the time between two statuses to all."""
+        return max(self.interval_s, len(self.roster.peers) / MOST_PER_S)
 
     async def _send(self, audience: Audience) -> None:
         """Send one status to every peer of an audience, in small parts."""
@@ -163,14 +193,15 @@
         status = self.describe(self.sequence)
         now = self.time.now()
         self.roster.learn(status, now)
-        self._note_silence(now)
         if audience is Audience.ALL:
-            self._ask_silent(now)
+            self.all_due = now + self._every_s()
         targets = self._targets(now)
+        self.keyed = status.read is not None
         members = [
             name
             for name in targets
-            if name in self.roster.peers
+            if self.keyed
+            and name in self.roster.peers
             and self.roster.peers[name].status.service == status.service
         ]
         yield from self._each(
@@ -178,7 +209,11 @@
         )
         if audience is Audience.ALL:
             short = msgspec.structs.replace(
-                status, read=None, hot=(), concerned=()
+                status,
+                read=None,
+                hot=(),
+                concerned=(),
+                every_s=self._every_s(),
             )
             yield from self._each(audience, short, list(targets.values()))
 
@@ -225,12 +260,13 @@
         """
         for name, peer in self.roster.peers.items():
             silent_s = now - peer.heard_at
-            if not ASK_AFTER_S <= silent_s <= roster.FORGET_S:
+            late_s = max(ASK_AFTER_S, ASK_SHARE * peer.status.every_s)
+            if not late_s <= silent_s <= roster.FORGET_S:
                 continue
             if name == self.roster.myself:
                 continue
-            often = silent_s < ASK_OFTEN_S
-            if often or self.rounds % FAR_EVERY == 0:
+            often = silent_s < late_s + ASK_OFTEN_S
+            if often or self.looks % FAR_EVERY == 0:
                 self.ask(name, peer.status.address)
 
     def _note_silence(self, now: float) -> None:
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/roster.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/roster.py
@@ -17,6 +17,10 @@
 SILENT_S: typing.Final = 1.7
 """Silence after which a peer is not sent new requests."""
 
+FRESH_SHARE: typing.Final = 2.0
+SILENT_SHARE: typing.Final = 3.0
+"""The same as multiples of the time between the peer's statuses."""
+
 LATE_S: typing.Final = 1.2
 """Time for which a status of an earlier run may still be on its way."""
 
@@ -100,7 +104,8 @@
         """Tell whether a peer may be sent requests."""
         if peer.status.sender == self.myself:
             return True
-        return now - peer.heard_at < SILENT_S
+        missing_s = SILENT_SHARE * peer.status.every_s
+        return now - peer.heard_at < max(SILENT_S, missing_s)
 
     def of_service(
         self, service: ids.ServiceName
@@ -132,7 +137,8 @@
             for peer in found
             if peer.avoid_until <= now
             and (
-                now - peer.heard_at < FRESH_S
+                now - peer.heard_at
+                < max(FRESH_S, FRESH_SHARE * peer.status.every_s)
                 or peer.status.sender == self.myself
             )
         ]
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/statuses.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/statuses.py
@@ -67,6 +67,10 @@
     crashes: int
 
 
+USUAL_EVERY_S: typing.Final = 0.5
+"""Time between two statuses in a fleet that is not large."""
+
+
 class Status(msgspec.Struct, frozen=True, array_like=True):
     """One process at one moment.
 
@@ -85,7 +89,8 @@
     here, ``hot`` names the busiest of these keys.  ``read`` is the sender's
     last read of the ownership object, None if it has none.  ``concerned``
     are the members whose keys the sender has lately written anew in it.
-    ``suspects`` are changes of late.
+    ``suspects`` are changes of late.  ``every_s`` is the longest time between
+    two statuses for the same reader.
     """
 
     sender: ids.MemberId
@@ -111,6 +116,7 @@
     suspects: tuple[Suspicion, ...] = ()
     follows: int = 0
     concerned: tuple[ids.MemberId, ...] = ()
+    every_s: float = USUAL_EVERY_S
 
 
 NO_SERVER: typing.Final = ""
