Learn of a new ownership from a peer while the store is closed

Cause: members that can't read go on by their peers' reads, but only of the version that they know. The plan for the server that left made a new one, which they could not learn, so all their leases ran out.

Now such a member asks the peer that names a newer version for it. That renews no lease by itself; peers' reads of that version do, counted as before from one's own status: a later version that takes keys away is written after that read, and its heir waits a lease from then. Keys that went to others are released at once. While reads fail no write is tried, as each would hold up the renewal of grants.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/keeping.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/keeping.py
@@ -15,6 +15,7 @@
 
 import msgspec
 from bronzepaddle import (
+    cells,
     clocks,
     ids,
     keyranges,
@@ -23,7 +24,7 @@
     storeleases,
 )
 from bronzepaddle_backend import connections, granting, servers
-from bronzepaddle_peers import statuses
+from bronzepaddle_peers import client, statuses
 from bronzepaddle_store import store
 
 from bronzepaddle_node import granted, keys, planning, roster, tasks
@@ -59,6 +60,13 @@
     first_start: bool
 
 
+Pull: typing.TypeAlias = collections.abc.Callable[
+    [cells.Address, statuses.OwnershipRequest],
+    collections.abc.Awaitable[statuses.OwnershipReply],
+]
+"""Asks a peer for a newer ownership; raises one of ``client.BROKEN``."""
+
+
 @dataclasses.dataclass(frozen=True)
 class Read:
     """The ownership object as last read."""
@@ -80,6 +88,7 @@
         orders: collections.abc.Callable[[], granting.Orders | None],
         changed: collections.abc.Callable[[], None],
         version_changed: collections.abc.Callable[[], None],
+        pull: Pull,
         time: clocks.Clock,
     ) -> None:
         self.settings = settings
@@ -90,6 +99,10 @@
         self.orders = orders
         self.changed = changed
         self.version_changed = version_changed
+        self.pull = pull
+        # Whether the last read failed, and a peer is being asked instead.
+        self.unable = False
+        self.pulling = False
         self.time = time
         self.own_run = statuses.run_of(settings.name, settings.incarnation)
         self.lease = storeleases.StoreLease(settings.times)
@@ -197,7 +210,9 @@
         heard = self._heard_from_members()
         try:
             found = await self.objects.get(self.object_name)
+            self.unable = False
         except store.StoreError as error:
+            self.unable = True
             logs.call_failed(self.object_name, repr(error))
             return
         if found is None:
@@ -237,6 +252,9 @@
             # For all others the next read is soon enough; if each member
             # read each version, reads would grow with the fleet's square.
             self.poke()
+        if newer and self.unable and not self.pulling:
+            self.pulling = True
+            self.running.start(self._pull(status), "pull")
         sent_at = self._read_after(status.read)
         if status.read is None or sent_at is None:
             return
@@ -244,6 +262,45 @@
         if status.read.version == self.version:
             self.lease.renew(sent_at)
 
+    async def _pull(self, status: statuses.Status) -> None:
+        """Learn of a newer version from a peer, since the store is closed.
+
+        That proves nothing of what the store holds now, so it renews no
+        lease; but peers' reads of that version will, and keys that went to
+        others are released at once.
+        """
+        request = statuses.OwnershipRequest(
+            self.settings.service, self.version
+        )
+        try:
+            reply = await self.pull(status.address, request)
+            if reply.document:
+                ownership = keyranges.decode(reply.document)
+                self._adopt(Read(reply.version, ownership), None)
+                logs.ownership_pulled(status.sender, reply.version)
+        except client.BROKEN as error:
+            # The next status that names a newer version asks again.
+            logs.call_failed(f"ownership of {status.sender}", repr(error))
+        except msgspec.DecodeError as error:
+            logs.bad_document(self.object_name, str(error))
+        finally:
+            self.pulling = False
+
+    def answer(
+        self, request: statuses.OwnershipRequest
+    ) -> statuses.OwnershipReply:
+        """Answer a peer that can't read the store."""
+        known = self.read
+        if (
+            known is None
+            or known.ownership is None
+            or request.service != self.settings.service
+            or known.version <= request.newer_than
+        ):
+            return statuses.OwnershipReply(self.version, b"")
+        document = keyranges.encode(known.ownership)
+        return statuses.OwnershipReply(known.version, document)
+
     def concerned(self) -> tuple[ids.MemberId, ...]:
         """Return whose keys this member has lately written anew."""
         since = self.time.now() - CONCERNED_S
@@ -259,13 +316,18 @@
                 return self.sent_at.get(one.sequence)
         return None
 
-    def _adopt(self, read: Read, sent_at: float) -> None:
-        """Take a read in: every range of ours is a claim from now on."""
+    def _adopt(self, read: Read, sent_at: float | None) -> None:
+        """Take a version in: every range of ours is a claim from now on.
+
+        ``sent_at`` is when it was asked for in the store, None if a peer
+        told of it.
+        """
         if read.version < self.version:
             return
         changed = read.version != self.version
         self.read = read
-        self.lease.renew(sent_at)
+        if sent_at is not None:
+            self.lease.renew(sent_at)
         if read.ownership is None:
             self.mine = []
             return
@@ -279,8 +341,12 @@
             self.version_changed()
 
     async def _write(self, after: keyranges.Ownership) -> bool:
-        """Write the next version, if what was read is still the newest."""
-        if self.read is None:
+        """Write the next version, if what was read is still the newest.
+
+        Not tried while reads fail: each try would hold up the renewal of
+        grants by the timeout of a call.
+        """
+        if self.read is None or self.unable:
             return False
         replaces = self.read.version
         # Told of also if the answer is lost: the write may have been done.
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -205,6 +205,7 @@
             self._orders,
             self.announcer.tell_soon,
             self.announcer.tell_members_soon,
+            self.peers.pull_ownership,
             self.time,
         )
 
@@ -223,9 +224,12 @@
 
     async def _serve_peers(self) -> None:
         service = streamservice.Service(
-            self.serving.handle,
-            self.configuration.answer,
-            self.announcer.current,
+            streamservice.Sources(
+                self.serving.handle,
+                self.configuration.answer,
+                self.keeper.answer,
+                self.announcer.current,
+            ),
             pacing.Pacer(self.settings.link_mbps, self.time),
         )
         self.grpc = streamservice.server(service)
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/statuses.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/statuses.py
@@ -134,3 +134,17 @@
 
     version: ids.BundleVersion
     document: bytes
+
+
+class OwnershipRequest(msgspec.Struct, frozen=True):
+    """Asks for a service's ownership if it is newer than the asker's."""
+
+    service: ids.ServiceName
+    newer_than: ids.ObjectVersion
+
+
+class OwnershipReply(msgspec.Struct, frozen=True):
+    """An ownership document as the store holds it; empty if not newer."""
+
+    version: ids.ObjectVersion
+    document: bytes
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/streams.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/streams.py
@@ -286,21 +286,17 @@
 
         Raises one of ``client.BROKEN``.
         """
-        channel = grpclib.client.Channel(
-            address.host, address.port, codec=codec.MsgpackCodec()
+        return await _pull(
+            address, "PullConfig", request, statuses.ConfigReply
+        )
+
+    async def pull_ownership(
+        self, address: cells.Address, request: statuses.OwnershipRequest
+    ) -> statuses.OwnershipReply:
+        """Ask a peer for a newer ownership; raises like ``pull_config``."""
+        return await _pull(
+            address, "PullOwnership", request, statuses.OwnershipReply
         )
-        try:
-            method: typing.Any = grpclib.client.UnaryUnaryMethod(
-                channel,
-                PATH + "PullConfig",
-                statuses.ConfigRequest,
-                statuses.ConfigReply,
-            )
-            async with asyncio.timeout(PULL_TIMEOUT_S):
-                reply: statuses.ConfigReply = await method(request)
-            return reply
-        finally:
-            channel.close()
 
     async def close(self) -> None:
         """Close every stream."""
@@ -309,3 +305,27 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         self.lines.clear()
+
+
+_Message = typing.TypeVar("_Message")
+
+
+async def _pull(
+    address: cells.Address,
+    name: str,
+    request: object,
+    reply_type: type[_Message],
+) -> _Message:
+    """Return the reply to one call, made on a connection of its own."""
+    channel = grpclib.client.Channel(
+        address.host, address.port, codec=codec.MsgpackCodec()
+    )
+    try:
+        method: typing.Any = grpclib.client.UnaryUnaryMethod(
+            channel, PATH + name, type(request), reply_type
+        )
+        async with asyncio.timeout(PULL_TIMEOUT_S):
+            reply: _Message = await method(request)
+        return reply
+    finally:
+        channel.close()
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/streamservice.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/streamservice.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import dataclasses
 import functools
 import typing
 
@@ -35,19 +36,26 @@
 ]
 
 
+Ownership: typing.TypeAlias = collections.abc.Callable[
+    [statuses.OwnershipRequest], statuses.OwnershipReply
+]
+
+
+@dataclasses.dataclass(frozen=True)
+class Sources:
+    """Where answers to peers come from."""
+
+    handle: Handle
+    config: Config
+    ownership: Ownership
+    describe: Describe
+
+
 class Service:
     """The receiving side: serves the requests of peers."""
 
-    def __init__(
-        self,
-        handle: Handle,
-        config: Config,
-        describe: Describe,
-        pacer: pacing.Pacer,
-    ) -> None:
-        self.handle = handle
-        self.config = config
-        self.describe = describe
+    def __init__(self, sources: Sources, pacer: pacing.Pacer) -> None:
+        self.sources = sources
         self.pacer = pacer
 
     def __mapping__(self) -> dict[str, grpclib.const.Handler]:
@@ -65,12 +73,23 @@
                 statuses.ConfigRequest,
                 statuses.ConfigReply,
             ),
+            streams.PATH + "PullOwnership": grpclib.const.Handler(
+                self.pull_ownership,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                statuses.OwnershipRequest,
+                statuses.OwnershipReply,
+            ),
         }
 
     async def pull_config(self, stream: typing.Any) -> None:
         """Answer ``Client.pull_config``."""
         request = await stream.recv_message()
-        await stream.send_message(self.config(request))
+        await stream.send_message(self.sources.config(request))
+
+    async def pull_ownership(self, stream: typing.Any) -> None:
+        """Answer ``Client.pull_ownership``."""
+        request = await stream.recv_message()
+        await stream.send_message(self.sources.ownership(request))
 
     async def exchange(self, stream: typing.Any) -> None:
         """Serve one peer's stream until it ends."""
@@ -92,7 +111,7 @@
                     case exchanges.Ping():
                         out.put_nowait(message)
                     case exchanges.AskStatus():
-                        out.put_nowait(exchanges.Told(self.describe()))
+                        out.put_nowait(exchanges.Told(self.sources.describe()))
         finally:
             # The asker is gone: nobody wants these answers any more.
             for task in [*running.values(), writing]:
@@ -103,7 +122,7 @@
         ask: exchanges.Ask,
         out: "asyncio.Queue[exchanges.Downward]",
     ) -> None:
-        reply = await self.handle(ask)
+        reply = await self.sources.handle(ask)
         for message in _messages(ask.number, reply):
             await self.pacer.wait(len(message.piece))
             out.put_nowait(message)
--- a/packages/bronzepaddle/src/bronzepaddle/logs.py
+++ b/packages/bronzepaddle/src/bronzepaddle/logs.py
@@ -309,6 +309,15 @@
     )
 
 
+def ownership_pulled(member: ids.MemberId, version: ids.ObjectVersion) -> None:
+    """Log a version of the ownership that a peer told of."""
+    eliot.log_message(
+        message_type="ownership-pulled",
+        member=member,
+        ownership_version=version,
+    )
+
+
 def keys_granted(
     first: int, last: int, token: ids.Token, hold_s: float
 ) -> None:
--- a/tests/support/keepers.py
+++ b/tests/support/keepers.py
@@ -17,7 +17,7 @@
 from bronzepaddle import cells, ids, keyranges, routes, storeleases
 from bronzepaddle_backend import granting, servers
 from bronzepaddle_node import keeping, keys, roster, tasks
-from bronzepaddle_peers import statuses
+from bronzepaddle_peers import statuses, streams
 
 from support import fake_servers, turned, world
 
@@ -70,6 +70,7 @@
             self._orders,
             lambda: None,
             self.tell_now,
+            self._pull,
             self.time,
         )
         self.tasks.start(self.keeper.run(lambda: TABLE), "keys")
@@ -89,6 +90,20 @@
             else None
         )
 
+    async def _pull(
+        self, address: cells.Address, request: statuses.OwnershipRequest
+    ) -> statuses.OwnershipReply:
+        """Ask another member for a newer ownership, if it is reached."""
+        delay_s = self.around.delays_s.get(self.name, 0.002)
+        await asyncio.sleep(min(2 * delay_s, streams.PULL_TIMEOUT_S))
+        if 2 * delay_s >= streams.PULL_TIMEOUT_S:
+            raise TimeoutError
+        other = self.around.processes.get(address.host)
+        apart = frozenset((self.name, address.host)) in self.around.cut
+        if other is None or apart or not other.time.running.is_set():
+            raise TimeoutError
+        return other.keeper.answer(request)
+
     async def _announce(self) -> None:
         while True:
             server = self.server
--- a/tests/test_store_leases.py
+++ b/tests/test_store_leases.py
@@ -132,6 +132,20 @@
         assert around.covered()
 
 
+async def closed_to_some_while_keys_move(around: keepers.Keepers) -> None:
+    """Keys of those that can't read were served by nobody after a plan."""
+    await keepers.begin(around)
+    for name in ("b", "c"):
+        await keepers.happen(around, "offline", name)
+    await asyncio.sleep(1.0)
+    await keepers.happen(around, "drain", "d")
+    await asyncio.sleep(5.0)
+    for _ in range(100):
+        await asyncio.sleep(0.1)
+        assert around.covered()
+    assert {"b", "c"} <= keepers.ownership(around).members()
+
+
 async def old_news_reach_a_muted_owner(around: keepers.Keepers) -> None:
     """Bring statuses late to an owner that others take for lost."""
     await keepers.begin(around)
@@ -165,6 +179,7 @@
     server_ends_while_its_grants_are_renewed,
     server_starts_anew_before_its_keys_are_released,
     closed_to_all_but_one,
+    closed_to_some_while_keys_move,
     old_news_reach_a_muted_owner,
     heirs_restart_while_the_lost_owner_acts,
     late_grant_of_a_killed_process,
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -15,6 +15,7 @@
 from support import sample_status
 
 WAIT_S: typing.Final = 30.0
+STATUS: typing.Final = sample_status.status(sequence=9)
 UNPACED: typing.Final = pacing.Pacer(None, clocks.BootClock())
 
 
@@ -25,13 +26,18 @@
     def config(_request: statuses.ConfigRequest) -> statuses.ConfigReply:
         raise NotImplementedError
 
+    def ownership(
+        _request: statuses.OwnershipRequest,
+    ) -> statuses.OwnershipReply:
+        raise NotImplementedError
+
     async def play() -> statuses.Status:
         heard: asyncio.Future[statuses.Status] = asyncio.Future()
         server = streamservice.server(
             streamservice.Service(
-                handle,
-                config,
-                lambda: sample_status.status(sequence=9),
+                streamservice.Sources(
+                    handle, config, ownership, lambda: STATUS
+                ),
                 UNPACED,
             )
         )
@@ -40,9 +46,7 @@
         client = streams.Client()
         client.hear = heard.set_result
         host, port = socket.getsockname()
-        client.ask_status(
-            sample_status.PLAIN.sender, cells.Address(host, port)
-        )
+        client.ask_status(STATUS.sender, cells.Address(host, port))
         try:
             async with asyncio.timeout(WAIT_S):
                 return await heard
@@ -50,7 +54,7 @@
             await client.close()
             server.close()
 
-    assert asyncio.run(play()) == sample_status.status(sequence=9)
+    assert asyncio.run(play()) == STATUS
 
 
 def test_reply_counts_as_a_sign_of_life_but_not_as_a_status() -> None:
