Turn away at once what the link could not bring in time

Cause: 71 exports of 90 KB a second on five links of 7 Mbit/s, half as many again as they take. The line knows only the server's slots, so all were taken in, and all were late.

Now the process beside the server counts the bytes of large answers that are promised and have not left, and turns a request away when its answer would leave after its target time, unless it is alone. Sizes are measured by route; small answers are never turned away for that.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/serving.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/serving.py
@@ -21,7 +21,7 @@
     waiting,
 )
 from bronzepaddle_backend import connections, servers
-from bronzepaddle_peers import exchanges, streams
+from bronzepaddle_peers import exchanges, pacing, streams
 
 from bronzepaddle_node import crashwatch, keys
 
@@ -76,6 +76,7 @@
         held: keys.HeldKeys,
         workers: concurrent.futures.Executor,
         crashes: crashwatch.CrashWatch,
+        pacer: pacing.Pacer,
         time: clocks.Clock,
         lost: collections.abc.Callable[[], None],
     ) -> None:
@@ -86,6 +87,7 @@
         self.tracker = tracker
         self.held = held
         self.workers = workers
+        self.pacer = pacer
         self.time = time
         self.server: Server | None = None
         self.in_flight = 0
@@ -135,9 +137,32 @@
         """Return the mean time of a request at the server, 0 if unknown."""
         return 0.0 if self.server is None else self.server.line.mean_of_all_s()
 
+    async def handle_from_peer(self, ask: exchanges.Ask) -> streams.Reply:
+        """Return the reply to a peer, to which the answer has to be sent.
+
+        What the link could not bring there in time is turned away now.
+        """
+        server = self.server
+        sent_s = self.pacer.behind_s(ask.route)
+        mean_s = 0.0 if server is None else server.line.mean_s(ask.route)
+        patience_s = waiting.patience_s(_work(ask))
+        if sent_s == 0.0 or sent_s + mean_s <= patience_s:
+            return await self.handle(ask)
+        answer = answers.refusal(
+            verdicts.Reason.TOO_LATE,
+            self.name,
+            retry_after_s=sent_s,
+            detail=f"the link is full for {sent_s:.3f} s",
+        )
+        return self._reply(ask, answer)
+
     async def handle(self, ask: exchanges.Ask) -> streams.Reply:
         """Return the reply to one request of a peer, or of this process."""
-        answer = await self._answer(ask)
+        return self._reply(ask, await self._answer(ask))
+
+    def _reply(
+        self, ask: exchanges.Ask, answer: answers.Answer
+    ) -> streams.Reply:
         if answer.verdict is verdicts.Verdict.NOT_RUN:
             logs.turned_away(
                 ask.request_id, ask.route, ask.rank, answer, self.queue()
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -111,6 +111,7 @@
         self.crashes = crashwatch.CrashWatch(
             self.time, lambda: self.announcer.tell_soon()
         )
+        self.pacer = pacing.Pacer(settings.link_mbps, self.time)
         self.serving = serving.Serving(
             settings.name,
             names.SERVERS,
@@ -118,6 +119,7 @@
             self.held,
             self.workers,
             self.crashes,
+            self.pacer,
             self.time,
             self._server_lost,
         )
@@ -225,12 +227,12 @@
     async def _serve_peers(self) -> None:
         service = streamservice.Service(
             streamservice.Sources(
-                self.serving.handle,
+                self.serving.handle_from_peer,
                 self.configuration.answer,
                 self.keeper.answer,
                 self.announcer.current,
             ),
-            pacing.Pacer(self.settings.link_mbps, self.time),
+            self.pacer,
         )
         self.grpc = streamservice.server(service)
         where = self.settings.peers
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/pacing.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/pacing.py
@@ -4,8 +4,14 @@
 faster than the link takes queues in front of it, where a small answer that
 is wanted within a fraction of a second waits behind all of it.  Pieces of
 large answers wait here instead, in turn, and small ones go past them.
+
+Where more is asked for than the link takes, ``behind_s`` tells how late an
+answer would be, so that a request for it can be turned away before its server
+works for nothing.
 """
 
+import collections.abc
+import contextlib
 import typing
 
 from bronzepaddle import clocks
@@ -21,6 +27,27 @@
 
 BYTES_PER_MBIT: typing.Final = 125_000
 
+SHARED: typing.Final = 1.25
+"""How much longer an answer takes to leave, as those that come after it take
+their share of the link."""
+
+MEAN_WEIGHT: typing.Final = 0.1
+"""Weight of the newest answer in the running mean of sizes."""
+
+
+class Promise:
+    """The bytes of one answer that are still to leave."""
+
+    def __init__(self, pacer: "Pacer", size: float) -> None:
+        self.pacer = pacer
+        self.left = 0.0
+        self.set(size)
+
+    def set(self, left: float) -> None:
+        """Take in how many bytes are left."""
+        self.pacer.promised += left - self.left
+        self.left = left
+
 
 class Pacer:
     """The turns of one VM's large messages; for the event loop only."""
@@ -34,6 +61,39 @@
         self.time = time
         # When the link has taken all that was let through.
         self.free_at = float("-inf")
+        # The mean size of answers, by kind of work.
+        self.sizes: dict[str, float] = {}
+        # Bytes of large answers that have not left: as expected while their
+        # servers work on them, then as they are.
+        self.promised = 0.0
+
+    def measure(self, kind: str, size: int) -> None:
+        """Take the size of an answer in."""
+        known = self.sizes.get(kind, float(size))
+        self.sizes[kind] = known + MEAN_WEIGHT * (size - known)
+
+    def behind_s(self, kind: str) -> float:
+        """Return how long an answer that is promised takes to leave.
+
+        0 for an answer that is small, not measured, or alone.
+        """
+        size = self._large(self.sizes.get(kind, 0.0))
+        if self.bytes_per_s is None or not 0.0 < size < self.promised:
+            return 0.0
+        return SHARED * self.promised / self.bytes_per_s
+
+    @contextlib.contextmanager
+    def promise(self, kind: str) -> collections.abc.Iterator["Promise"]:
+        """Count an answer until it has left: from before its server works."""
+        promise = Promise(self, self._large(self.sizes.get(kind, 0.0)))
+        try:
+            yield promise
+        finally:
+            promise.set(0.0)
+
+    def _large(self, size: float) -> float:
+        """Return a size, 0 if it is one that does not wait."""
+        return size if size > SMALL_BYTES else 0.0
 
     async def wait(self, size: int) -> None:
         """Return when a message of so many bytes may leave."""
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/streamservice.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/streamservice.py
@@ -13,6 +13,7 @@
 
 import grpclib.const
 import grpclib.server
+from bronzepaddle import verdicts
 
 from bronzepaddle_peers import (
     client,
@@ -122,10 +123,17 @@
         ask: exchanges.Ask,
         out: "asyncio.Queue[exchanges.Downward]",
     ) -> None:
-        reply = await self.sources.handle(ask)
-        for message in _messages(ask.number, reply):
-            await self.pacer.wait(len(message.piece))
-            out.put_nowait(message)
+        with self.pacer.promise(ask.route) as promise:
+            reply = await self.sources.handle(ask)
+            messages = list(_messages(ask.number, reply))
+            left = sum(len(message.piece) for message in messages)
+            if reply.answer.verdict is verdicts.Verdict.RAN:
+                self.pacer.measure(ask.route, left)
+            for message in messages:
+                promise.set(left)
+                await self.pacer.wait(len(message.piece))
+                out.put_nowait(message)
+                left -= len(message.piece)
 
 
 def _forget(
--- a/packages/bronzepaddle/src/bronzepaddle/waiting.py
+++ b/packages/bronzepaddle/src/bronzepaddle/waiting.py
@@ -252,11 +252,11 @@
 
 def allowed_wait_s(work: Work, mean_s: float) -> float:
     """Return the wait with which a request still is worth taking in."""
-    patience_s = _patience_s(work)
-    return max(patience_s - SPREAD * mean_s, LEAST_WAIT_SHARE * patience_s)
+    longest_s = patience_s(work)
+    return max(longest_s - SPREAD * mean_s, LEAST_WAIT_SHARE * longest_s)
 
 
-def _patience_s(work: Work) -> float:
+def patience_s(work: Work) -> float:
     """Return the time in which a request must be expected to be done."""
     if work.idempotent:
         return min(work.target_s, work.left_s)
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -86,3 +86,64 @@
     sent = 100 * exchanges.PIECE_BYTES
     rate = LINK_MBPS * pacing.BYTES_PER_MBIT
     assert sent / rate < took_s + 0.05 < 1.2 * sent / rate
+
+
+WORK_S: typing.Final = 0.18
+TARGET_S: typing.Final = 1.0
+OVERLOAD_PER_S: typing.Final = 14
+"""Downloads of 90 KB: half as many again as the link takes."""
+
+
+def share_in_time(turns_away: bool) -> float:
+    """Replay more downloads than a link takes; return the share in time."""
+    loop = turned.TurnedLoop()
+    pacer = pacing.Pacer(LINK_MBPS, turned.MemberClock(loop, 1.0))
+    pacer.measure("download", DOWNLOAD_BYTES)
+    in_time: list[bool] = []
+
+    async def download() -> None:
+        began = loop.time()
+        with pacer.promise("download") as promise:
+            sent_s = pacer.behind_s("download")
+            if turns_away and sent_s and sent_s + WORK_S > TARGET_S:
+                in_time.append(False)
+                return
+            await asyncio.sleep(WORK_S)
+            for left in range(DOWNLOAD_BYTES, 0, -15_000):
+                promise.set(left)
+                await pacer.wait(15_000)
+        in_time.append(loop.time() - began <= TARGET_S)
+
+    async def play() -> None:
+        running = []
+        for _ in range(OVERLOAD_PER_S * LENGTH_S):
+            running.append(asyncio.create_task(download()))
+            await asyncio.sleep(1 / OVERLOAD_PER_S)
+        await asyncio.gather(*running)
+
+    loop.run_until_complete(play())
+    loop.close()
+    return sum(in_time) / len(in_time)
+
+
+def test_more_downloads_than_the_link_takes_are_turned_away_at_once() -> None:
+    """All were late, and most were cut off at their deadlines."""
+    assert share_in_time(turns_away=True) > 0.6
+    assert share_in_time(turns_away=False) < 0.2
+
+
+def test_small_answers_are_not_turned_away_for_a_full_link() -> None:
+    loop = turned.TurnedLoop()
+    pacer = pacing.Pacer(LINK_MBPS, turned.MemberClock(loop, 1.0))
+    pacer.measure("download", DOWNLOAD_BYTES)
+    pacer.measure("call", SMALL_BYTES)
+    with pacer.promise("download") as first:
+        # Alone it is never turned away, however slow the link is.
+        assert pacer.behind_s("download") == 0.0
+        first.set(5_000_000)
+        with pacer.promise("download"), pacer.promise("call"):
+            assert pacer.behind_s("download") > 5.0
+            assert pacer.behind_s("call") == 0.0
+            assert pacer.behind_s("not known yet") == 0.0
+    assert pacer.promised == 0.0
+    loop.close()
