Begin no caller's request that the end of the process would cut off

A request that came 4.57 s after the SIGTERM of its process, on which fewer than half of its zone's processes were in, so that callers kept coming, was running at another process's server 0.1 s later and was cut there 0.35 s later with a 500, at the end of the process, 5 s after the SIGTERM.

Cause: only the process beside a server asked whether a request could be done before its own end; the one that takes it from the caller did not.

Now the router measures what answers of a route take and refuses what would likely not be done in time with 503, not run, so that the caller can come back elsewhere or after the restart. The new case of test_router.py failed before.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
@@ -24,6 +24,7 @@
     retries,
     routes,
     verdicts,
+    waiting,
 )
 from bronzepaddle_callers import intake
 from bronzepaddle_peers import exchanges, streams
@@ -100,16 +101,18 @@
         self.in_flight = 0
         # The most time that a request of each route had left.
         self.longest_s: dict[str, float] = {}
+        # The mean time of answers here, by route, and when this process
+        # ends, whatever still runs.
+        self.means_s: dict[str, float] = {}
+        self.ends_at = float("inf")
 
     def learn_table(self, table: routes.Table) -> None:
         """Route by a new table from now on."""
         self.table = table
         names = {route.name for route in table.routes}
-        self.longest_s = {
-            name: left_s
-            for name, left_s in self.longest_s.items()
-            if name in names
-        }
+        for by_route in (self.longest_s, self.means_s):
+            for name in by_route.keys() - names:
+                del by_route[name]
 
     async def serve(self, arrival: intake.Arrival) -> answers.Answer:
         """Return the answer to one request, in its time."""
@@ -157,6 +160,11 @@
     ) -> None:
         """Log and count what came of a request."""
         route = progress.route
+        if answer.reason is verdicts.Reason.SERVED:
+            known_s = self.means_s.get(route.name, took_s)
+            self.means_s[route.name] = known_s + waiting.MEAN_WEIGHT * (
+                took_s - known_s
+            )
         logs.answered(
             progress.arrival.request_id,
             route.name,
@@ -215,11 +223,21 @@
         self.longest_s[route.name] = longest_s
         return longest_s - left_s > route.target_s
 
+    def _ends_before(self, route: routes.Route) -> bool:
+        """Tell whether this process may end before a request is answered."""
+        mean_s = self.means_s.get(route.name, 0.0)
+        return self.time.now() + serving.END_SPREAD * mean_s > self.ends_at
+
     async def _until_done(self, progress: _Progress) -> answers.Answer:
         """Try until there is an answer or no try is left.
 
         A try that may have run is not undone by a refusal of a later one.
+        Nothing is begun that the end of this process would cut off.
         """
+        if self._ends_before(progress.route):
+            return self._refuse(
+                verdicts.Reason.DRAINING, retry_after_s=RETRY_AFTER_S
+            )
         uncertain: answers.Answer | None = None
         while True:
             answer = await self._try(progress)
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -453,7 +453,7 @@
         self.callers.close_after_answers()
         self.announcer.tell_soon()
         last = began + self.settings.grace_s * LAST_SHARE
-        self.serving.ends_at = last
+        self.serving.ends_at = self.router.ends_at = last
         while self.time.now() < last:
             waited_s = self.time.now() - began
             if waited_s >= LEAST_STAY_S and not self._busy():
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -58,10 +58,13 @@
 
 
 def told(
-    kind: routes.RouteKind, tries: list[Try], keyed: bool = False
+    kind: routes.RouteKind,
+    tries: list[Try],
+    keyed: bool = False,
+    found: Scripted | None = None,
 ) -> answers.Answer:
     """Return what the caller of a request is told after some tries."""
-    found = Scripted(tries)
+    found = found or Scripted(tries)
     share = routes.Share(SHOP, 1.0)
     found.learn_table(
         routes.Table(
@@ -120,3 +123,22 @@
 ) -> None:
     found = told(routes.RouteKind.NOT_IDEMPOTENT, tries, keyed=True)
     assert found.verdict is verdict
+
+
+@pytest.mark.parametrize(
+    ("left_s", "verdict"),
+    [
+        (0.5, verdicts.Verdict.NOT_RUN),
+        (5.0, verdicts.Verdict.RAN),
+    ],
+)
+def test_request_that_the_end_of_the_process_would_cut_is_not_begun(
+    left_s: float, verdict: verdicts.Verdict
+) -> None:
+    """It was cut at its server, 0.35 s after it came."""
+    stopping = Scripted([SERVED])
+    stopping.means_s["r"] = 0.3
+    stopping.ends_at = stopping.time.now() + left_s
+    found = told(routes.RouteKind.IDEMPOTENT, [], found=stopping)
+    assert found.verdict is verdict
+    assert bool(stopping.script) is (verdict is verdicts.Verdict.NOT_RUN)
