--- a/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
@@ -17,6 +17,7 @@
 
 from bronzepaddle import (
     answers,
+    averages,
     choosing,
     clocks,
     ids,
@@ -161,9 +162,8 @@
         """Log and count what came of a request."""
         route = progress.route
         if answer.reason is verdicts.Reason.SERVED:
-            known_s = self.means_s.get(route.name, took_s)
-            self.means_s[route.name] = known_s + waiting.MEAN_WEIGHT * (
-                took_s - known_s
+            self.means_s[route.name] = averages.moved(
+                self.means_s.get(route.name), took_s, waiting.MEAN_WEIGHT
             )
         logs.answered(
             progress.arrival.request_id,
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/pacing.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/pacing.py
@@ -14,7 +14,7 @@
 import contextlib
 import typing
 
-from bronzepaddle import clocks
+from bronzepaddle import averages, clocks
 
 SMALL_BYTES: typing.Final = 4 * 1024
 """Size up to which a message goes at once."""
@@ -69,8 +69,9 @@
 
     def measure(self, kind: str, size: int) -> None:
         """Take the size of an answer in."""
-        known = self.sizes.get(kind, float(size))
-        self.sizes[kind] = known + MEAN_WEIGHT * (size - known)
+        self.sizes[kind] = averages.moved(
+            self.sizes.get(kind), size, MEAN_WEIGHT
+        )
 
     def behind_s(self, kind: str) -> float:
         """Return how long an answer that is promised takes to leave.
--- a/packages/bronzepaddle/src/bronzepaddle/waiting.py
+++ b/packages/bronzepaddle/src/bronzepaddle/waiting.py
@@ -27,6 +27,8 @@
 import math
 import typing
 
+from bronzepaddle import averages
+
 MEAN_WEIGHT: typing.Final = 0.1
 """Weight of the newest service time in the running mean."""
 
@@ -228,13 +230,12 @@
         return self.mean_of_all
 
     def _measure(self, kind: str, took_s: float) -> None:
-        of_all = self.mean_of_all or took_s
-        self.mean_of_all = of_all + ALL_WEIGHT * (took_s - of_all)
-        known = self.means.get(kind)
-        if known is None:
-            self.means[kind] = took_s
-        else:
-            self.means[kind] = known + MEAN_WEIGHT * (took_s - known)
+        self.mean_of_all = averages.moved(
+            self.mean_of_all or None, took_s, ALL_WEIGHT
+        )
+        self.means[kind] = averages.moved(
+            self.means.get(kind), took_s, MEAN_WEIGHT
+        )
 
     def _count(self, now: float) -> None:
         """Let what was counted fade with time."""
--- a/tests/test_announcing.py
+++ b/tests/test_announcing.py
@@ -42,21 +42,17 @@
             for other in range(MEMBERS)
         ),
     )
-    return statuses.Status(
+    return sample_status.status(
         sender=ids.MemberId(f"sidecar-ne-a-{number}"),
         incarnation=ids.Incarnation("0190c3e0e5b27d1c8a3f5a6b7c8d9e0f"),
         started_ms=1_778_067_240_468,
         sequence=sequence,
         address=cells.Address(f"10.129.0.{number}", 7620),
         zone=ids.ZoneName("ne-a"),
-        leaving=False,
         service=SHOP if keyed else ids.ServiceName("ziye50b"),
         run="i-9046ff59e0@1778067240468",
-        state=statuses.ServerState.READY,
-        slots=3,
         outstanding=2,
         service_s=0.123,
-        cold_s=0.0,
         table_version=ids.BundleVersion(12),
         ownership_version=ids.ObjectVersion(4711),
         held=tuple(
