--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/pacing.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/pacing.py
@@ -38,12 +38,12 @@
 class Promise:
     """The bytes of one answer that are still to leave."""
 
-    def __init__(self, pacer: "Pacer", size: float) -> None:
+    def __init__(self, pacer: "Pacer", size: int) -> None:
         self.pacer = pacer
-        self.left = 0.0
+        self.left = 0
         self.set(size)
 
-    def set(self, left: float) -> None:
+    def set(self, left: int) -> None:
         """Take in how many bytes are left."""
         self.pacer.promised += left - self.left
         self.left = left
@@ -64,8 +64,9 @@
         # The mean size of answers, by kind of work.
         self.sizes: dict[str, float] = {}
         # Bytes of large answers that have not left: as expected while their
-        # servers work on them, then as they are.
-        self.promised = 0.0
+        # servers work on them, then as they are.  Whole numbers, lest what
+        # is left of rounding looks like another answer.
+        self.promised = 0
 
     def measure(self, kind: str, size: int) -> None:
         """Take the size of an answer in."""
@@ -78,23 +79,24 @@
 
         0 for an answer that is small, not measured, or alone.
         """
-        size = self._large(self.sizes.get(kind, 0.0))
-        if self.bytes_per_s is None or not 0.0 < size < self.promised:
+        size = self._expected(kind)
+        if self.bytes_per_s is None or not 0 < size < self.promised:
             return 0.0
         return SHARED * self.promised / self.bytes_per_s
 
     @contextlib.contextmanager
     def promise(self, kind: str) -> collections.abc.Iterator["Promise"]:
         """Count an answer until it has left: from before its server works."""
-        promise = Promise(self, self._large(self.sizes.get(kind, 0.0)))
+        promise = Promise(self, self._expected(kind))
         try:
             yield promise
         finally:
-            promise.set(0.0)
+            promise.set(0)
 
-    def _large(self, size: float) -> float:
-        """Return a size, 0 if it is one that does not wait."""
-        return size if size > SMALL_BYTES else 0.0
+    def _expected(self, kind: str) -> int:
+        """Return the size of a kind of answer, 0 if it does not wait."""
+        size = round(self.sizes.get(kind, 0.0))
+        return size if size > SMALL_BYTES else 0
 
     async def wait(self, size: int) -> None:
         """Return when a message of so many bytes may leave."""
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -1,8 +1,10 @@
 """Downloads on a small link keep small answers waiting for one piece only."""
 
 import asyncio
+import random
 import typing
 
+from bronzepaddle import clocks
 from bronzepaddle_peers import exchanges, pacing
 from support import turned
 
@@ -147,3 +149,16 @@
             assert pacer.behind_s("not known yet") == 0.0
     assert pacer.promised == 0.0
     loop.close()
+
+
+def test_answer_that_is_alone_is_known_to_be() -> None:
+    """What is left of rounding made it look like one of two."""
+    draw = random.Random(1)
+    for _ in range(20):
+        pacer = pacing.Pacer(LINK_MBPS, clocks.BootClock())
+        for _ in range(300):
+            pacer.measure("download", draw.randrange(60_000, 120_000))
+            with pacer.promise("download") as one, pacer.promise("download"):
+                one.set(draw.randrange(5_000, 90_000))
+        with pacer.promise("download"):
+            assert pacer.behind_s("download") == 0.0
