Keep the stand-ins beside the cases, and name record.txt in each of them

Each folder of review/ is a case now: the stand-ins are review/harness.py. Each case.py gives the path of its record.txt. Not run yet on this commit.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -6,7 +6,7 @@
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "common"))
+sys.path.insert(0, str(FOLDER.parent))
 
 import harness  # noqa: E402
 
@@ -102,4 +102,4 @@
 
 
 if __name__ == "__main__":
-    harness.main(case, str(FOLDER))
+    harness.main(case, FOLDER / "record.txt")
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -9,7 +9,7 @@
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "common"))
+sys.path.insert(0, str(FOLDER.parent))
 
 import harness  # noqa: E402
 
@@ -208,4 +208,4 @@
 
 
 if __name__ == "__main__":
-    harness.main(case, str(FOLDER))
+    harness.main(case, FOLDER / "record.txt")
--- a/review/common/harness.py
+++ b/review/harness.py
@@ -24,7 +24,7 @@
 import time
 import urllib.parse
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 DEPS = ROOT / "target" / "deps"
 
 MODULE = "bronzepaddle_node.main"
@@ -921,9 +921,9 @@
     raise CannotRunError(f"{path} is not served by {machine.name}")
 
 
-def main(case, folder: str) -> None:
+def main(case, record_path: pathlib.Path) -> None:
     """Run a case and exit with its result."""
-    record = Record(pathlib.Path(folder).resolve() / "record.txt")
+    record = Record(record_path)
     record.say(f"TROUBLE={1 if trouble() else 0}")
 
     async def run() -> int:
