Accept no report of another service than that of the settings

Callers and servers saw: after a well-formed status report of another writer, with a service that exists nowhere, two servers held the same keys for up to 1.8 s, and the VM that got the report served none of its keys for 2.8 s.

Cause: reports were checked for their format only, so such a report was taken for a new run of the server on the VM. A new run proves that the one before has ended and holds nothing: its grants were recorded as released, and the next owners did not wait. Ruled out: the waits of the next owners (they are as long as the design says unless a range is marked as released).

Change: a report whose service isn't that of the settings is answered with 400 and changes nothing. Found beside it: the same report with the id and start of the real server made the next reports of that server outdated.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -390,9 +390,17 @@
     ) -> key_reports.Reply:
         """Record an announcement; broadcast a status if the state changed.
 
-        An outdated announcement is ignored: its reply contains no order,
-        which would count from an earlier time than those of newer ones.
+        An announcement for another service can't come from the server on this
+        VM, so it is not accepted.  An outdated announcement is ignored: its
+        reply contains no order, which would count from an earlier time than
+        those of newer ones.
         """
+        if announcement.service != self.settings.service:
+            logs.bad_document(
+                f"report from {announcement.server_id}",
+                f"of service {announcement.service}",
+            )
+            return key_reports.Reply(accepted=False)
         previous = self.tracker.latest
         if not self.tracker.record(announcement, self.clock.now()):
             return key_reports.Reply(accepted=True)
--- a/tests/integration/test_sidecar.py
+++ b/tests/integration/test_sidecar.py
@@ -347,6 +347,55 @@
         assert fleet.send(name, "/plain/a").status == 200
 
 
+@pytest.mark.parametrize("same_run", [False, True])
+def test_announcement_of_another_service_ends_no_run(
+    fleet: Fleet, same_run: bool
+) -> None:
+    """Another writer announces a server of a service that doesn't exist.
+
+    Guards against the report being taken for a new run of the server: its
+    grants were then recorded as released while it still held the keys, or its
+    own next report counted as outdated.
+    """
+    name = "two"
+    server, process = fleet.servers[name], fleet.sidecars[name]
+    run = process.held_keys.run
+    tokens = {held.token for held in process.held_keys.ranges}
+    assert tokens
+    document = {
+        "address": local_addresses.unused_address(),
+        "info": {"service": "nosuch", "version": "v", "zone": "a", "slots": 9},
+        "status": {
+            "state": "ready",
+            "sequence": server.sequence + 1000,
+            "cold_remaining_ms": 0,
+        },
+        "born": server.started_ms + (0 if same_run else 1000),
+    }
+    server_id = server.server_id if same_run else "i-odd"
+    odd = fleet.http.request(
+        "PUT",
+        f"http://{fleet.control(name)}/api/instances/{server_id}",
+        body=msgspec.json.encode(document),
+    )
+    assert odd.status == 400
+    assert process.held_keys.run == run
+    assert tokens == {held.token for held in process.held_keys.ranges}
+    assert not any(
+        released.token in tokens
+        for released in process.reconciler.released_grants
+    )
+    sequence = server.sequence
+    fleet.wait_until(
+        lambda: (
+            (latest := process.tracker.latest) is not None
+            and latest.announcement.sequence in range(sequence, sequence + 999)
+            and latest.announcement.run == run
+        ),
+        "the next report of the server is recorded",
+    )
+
+
 def test_caller_that_hangs_up_ends_the_request(fleet: Fleet) -> None:
     """A request ends when its caller disconnects while it runs.
 
