Begin no late request that the end of the process would cut off

Callers saw: requests sent 3 to 5 s after SIGTERM were taken, passed on, and ended 5 s after SIGTERM with a 500 while their server was at work. Responses that were still being written were cut off 2.6 s after SIGTERM.

Cause: whether a late request could be finished was estimated from three times the mean latency of its route, which run times of ordinary spread exceed. A request was in flight only until the router had its response, not until that was written to the caller or the peer. The port stayed open until the end.

Change: once callers know of the stop (2.5 s), a request is begun only if its deadline is before the process ends, at the router and at the owner; otherwise it is rejected at once. The stop waits until responses are written, up to 11/12 of the grace time instead of 5/6, and closes the callers' port at its end.

--- a/packages/bronzepaddle-callers/src/bronzepaddle_callers/server.py
+++ b/packages/bronzepaddle-callers/src/bronzepaddle_callers/server.py
@@ -11,6 +11,7 @@
 import threading
 import typing
 
+import cheroot.server
 import cheroot.wsgi
 import cherrypy
 from bronzepaddle import options
@@ -67,15 +68,51 @@
         return environ
 
 
+class _Request(cheroot.server.HTTPRequest):
+    """A request that is counted until its response is written."""
+
+    def respond(self) -> None:
+        """Serve the request: read its body, run it, write the response."""
+        with self.server.requests_in_progress:
+            super().respond()
+
+
+class _Connection(cheroot.server.HTTPConnection):
+    RequestHandlerClass = _Request
+
+
+class _Counter:
+    """Counts the threads that are inside of its ``with`` block."""
+
+    def __init__(self) -> None:
+        self.lock = threading.Lock()
+        self.count = 0
+
+    def __enter__(self) -> None:
+        with self.lock:
+            self.count += 1
+
+    def __exit__(self, *_error: object) -> None:
+        with self.lock:
+            self.count -= 1
+
+
 class BackgroundServer(cheroot.wsgi.Server):
     """WSGI server that runs on daemon threads and writes no error log.
 
     A connection that a caller closes is no error of this process.
-    ``closing`` turns off keep-alive.
+    ``closing`` turns off keep-alive.  ``requests_in_progress`` counts the
+    requests whose header section has been read and whose response has not
+    been written to its end.
     """
 
+    ConnectionClass = _Connection
     closing = False
 
+    def __init__(self, *args: typing.Any, **kwargs: typing.Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.requests_in_progress = _Counter()
+
     def start_threads(self) -> None:
         """Listen and serve in the background.
 
@@ -149,6 +186,10 @@
         count: int = self.cheroot_server.requests.qsize
         return count
 
+    def requests_in_progress(self) -> int:
+        """Return the number of requests without a completely sent response."""
+        return self.cheroot_server.requests_in_progress.count
+
     def disable_keep_alive(self) -> None:
         """From now on, close each connection after its next response."""
         self.cheroot_server.closing = True
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
@@ -25,7 +25,7 @@
 from bronzepaddle_backend import connections, server_tracker
 from bronzepaddle_peers import pacing, stream_client, stream_messages
 
-from bronzepaddle_node import crash_detector, held_keys
+from bronzepaddle_node import crash_detector, held_keys, process_end
 
 DRAIN_GRACE_S: typing.Final = 1.0
 """Time for which a draining server is still sent requests.
@@ -33,12 +33,6 @@
 These are the requests admitted before, and those for the keys that it holds.
 """
 
-RUN_TIME_FACTOR: typing.Final = 3.0
-"""Multiple of a route's mean run time that must be left to this process.
-
-If the process ends sooner, a request of the route is not started.
-"""
-
 MOVING_RETRY_AFTER_S: typing.Final = 0.1
 """Retry-After of rejections while the server or the key is being moved."""
 
@@ -111,8 +105,7 @@
         self.clock = clock
         self.server_run: ServerRun | None = None
         self.in_flight = 0
-        # When this process ends, even if requests are still running.
-        self.process_ends_at = float("inf")
+        self.process_end = process_end.NEVER
         self.key_load = key_load.KeyLoadCounter(clock.now())
 
     def on_announcement(
@@ -246,10 +239,8 @@
         if request.key >= 0:
             self.key_load.count(request.key)
         now = self.clock.now()
-        if (
-            now + RUN_TIME_FACTOR * server_run.queue.mean_s(request.route)
-            > self.process_ends_at
-        ):
+        mean_s = server_run.queue.mean_s(request.route)
+        if not self.process_end.may_begin(now, mean_s, request.time_left_s):
             return self._reject(verdicts.Reason.DRAINING, MOVING_RETRY_AFTER_S)
         deadline = now + request.time_left_s
         decision = server_run.queue.submit(_request_profile(request), now)
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
@@ -39,6 +39,7 @@
     crash_detector,
     local_backend,
     peer_table,
+    process_end,
     sidecar_metrics,
 )
 
@@ -117,14 +118,12 @@
         self.rng = rng
         self.route_table: route_table.Table | None = None
         self.traffic_splitter = route_table.TrafficSplitter()
-        self.in_flight = 0
         # By route: the longest time that a request had on arrival until its
         # deadline.
         self.max_time_left_s: dict[str, float] = {}
         # By route: the mean latency of the served requests.
         self.mean_latencies_s: dict[str, float] = {}
-        # When this process ends, even if requests are still running.
-        self.process_ends_at = float("inf")
+        self.process_end = process_end.NEVER
 
     def update_table(self, table: route_table.Table) -> None:
         """Route by a new table; forget the times of routes not in it."""
@@ -137,17 +136,10 @@
     async def serve(
         self, request: buffered_app.BufferedRequest
     ) -> http_messages.Response:
-        """Return the response to one request by its deadline."""
-        self.in_flight += 1
-        try:
-            return await self._serve_until_disconnect(request)
-        finally:
-            self.in_flight -= 1
+        """Return the response to one request by its deadline.
 
-    async def _serve_until_disconnect(
-        self, request: buffered_app.BufferedRequest
-    ) -> http_messages.Response:
-        """Serve a request; cancel it if the caller disconnects."""
+        Cancels the request if its caller disconnects.
+        """
         started_at = self.clock.now()
         serving = asyncio.ensure_future(self._serve(request))
         disconnect_watcher = _DisconnectWatcher(
@@ -272,15 +264,12 @@
         self.max_time_left_s[route.name] = max_time_left_s
         return max_time_left_s - time_left_s > route.target_s
 
-    def _process_may_end_before_response(
-        self, route: route_table.Route
-    ) -> bool:
-        """Return whether this process may end before a response is ready."""
-        mean_s = self.mean_latencies_s.get(route.name, 0.0)
-        return (
-            self.clock.now() + local_backend.RUN_TIME_FACTOR * mean_s
-            > self.process_ends_at
-        )
+    def _may_begin(self, progress: _Progress) -> bool:
+        """Return whether a request may be begun before this process ends."""
+        now = self.clock.now()
+        mean_s = self.mean_latencies_s.get(progress.route.name, 0.0)
+        time_left_s = progress.deadline + RESPONSE_MARGIN_S - now
+        return self.process_end.may_begin(now, mean_s, time_left_s)
 
     async def _run_attempts(
         self, progress: _Progress
@@ -292,9 +281,11 @@
         request did not run.  No request is started that the end of this
         process would cut off.
         """
-        if self._process_may_end_before_response(progress.route):
+        if not self._may_begin(progress):
+            left_s = self.process_end.ends_at - self.clock.now()
             return self._reject(
-                verdicts.Reason.DRAINING, retry_after_s=RETRY_AFTER_S
+                verdicts.Reason.DRAINING,
+                retry_after_s=max(RETRY_AFTER_S, left_s),
             )
         may_have_run: http_messages.Response | None = None
         while True:
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -54,6 +54,7 @@
     listen_sockets,
     local_backend,
     peer_table,
+    process_end,
     reconciler,
     router,
     runtime_stats,
@@ -78,7 +79,7 @@
 Callers learn of the stop from two health checks, one second apart.
 """
 
-USED_GRACE_SHARE: typing.Final = 5 / 6
+USED_GRACE_SHARE: typing.Final = 11 / 12
 """Share of the grace time after which ``stop`` returns in any case."""
 
 CLOSE_TIMEOUT_S: typing.Final = 0.2
@@ -271,7 +272,7 @@
 
     async def _serve_peers(self) -> None:
         """Start the gRPC server for the requests of peers."""
-        service = stream_service.Service(
+        self.peer_service = stream_service.Service(
             stream_service.RequestHandlers(
                 self.local_backend.handle_from_peer,
                 self.configuration.on_pull,
@@ -280,7 +281,7 @@
             ),
             self.pacer,
         )
-        self.grpc_server = stream_service.server(service)
+        self.grpc_server = stream_service.server(self.peer_service)
         endpoint = self.settings.peers
         await self.grpc_server.start(
             sock=listen_sockets.tcp_socket(endpoint.host, endpoint.port)
@@ -578,24 +579,40 @@
         """Report not ready, serve remaining requests, and then return.
 
         Returns within the grace time, even if requests are still running.
-        The ports stay open.
+        The port for callers is closed, unless a request is still running.
         """
         started_at = self.clock.now()
         self.leaving = True
         logs.process("stopping", self.settings.name)
         self.caller_server.disable_keep_alive()
         self.broadcaster.broadcast_soon()
+        known_at = started_at + MIN_STOP_S
         ends_at = started_at + self.settings.grace_s * USED_GRACE_SHARE
-        self.local_backend.process_ends_at = self.router.process_ends_at = (
-            ends_at
-        )
-        while self.clock.now() < ends_at:
-            waited_s = self.clock.now() - started_at
-            if waited_s >= MIN_STOP_S and not self._has_requests_in_flight():
-                break
-            await self.clock.sleep(STOP_POLL_S)
+        self._set_end(process_end.ProcessEnd(known_at, ends_at))
+        await self.clock.sleep(min(known_at, ends_at) - started_at)
+        if await self._wait_for_requests(ends_at):
+            # Requests that arrive from here on are rejected, so that no more
+            # are running when the process ends.
+            self._set_end(process_end.NOW)
+            await self.loop.run_in_executor(
+                None, self.caller_server.stop, CLOSE_TIMEOUT_S
+            )
+            await self._wait_for_requests(ends_at)
         logs.process("stopped", self.settings.name)
 
+    def _set_end(self, end: process_end.ProcessEnd) -> None:
+        """Begin no requests that the end of this process would cut off."""
+        self.local_backend.process_end = self.router.process_end = end
+
+    async def _wait_for_requests(self, ends_at: float) -> bool:
+        """Wait until no request is in flight; return False if that is late."""
+        while self._has_requests_in_flight():
+            if self.clock.now() >= ends_at:
+                logs.stopped_early(self.caller_server.requests_in_progress())
+                return False
+            await self.clock.sleep(STOP_POLL_S)
+        return True
+
     async def close(self) -> None:
         """Cancel all tasks and close all ports, as if the process were lost.
 
@@ -618,5 +635,11 @@
         self.workers.shutdown(wait=False, cancel_futures=True)
 
     def _has_requests_in_flight(self) -> bool:
-        """Return whether a request of a caller or a peer is in flight."""
-        return bool(self.router.in_flight or self.local_backend.in_flight)
+        """Return whether a request of a caller or a peer is in flight.
+
+        It is until its response has been written to its end.
+        """
+        return bool(
+            self.caller_server.requests_in_progress()
+            or self.peer_service.is_serving()
+        )
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_service.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_service.py
@@ -55,12 +55,51 @@
     current_status: StatusSource
 
 
+class _Exchange:
+    """The stream of one peer: its requests and the messages to be written.
+
+    ``tasks`` serve the requests, by number.
+    """
+
+    def __init__(self, stream: typing.Any) -> None:
+        self.stream = stream
+        self.tasks: dict[int, asyncio.Task[None]] = {}
+        self.outgoing: asyncio.Queue[stream_messages.ServerMessage] = (
+            asyncio.Queue()
+        )
+        self.is_writing = False
+
+    async def write(self) -> None:
+        """Write queued messages until the connection is lost."""
+        # If the connection is lost, ``Service.exchange`` ends as well and
+        # cancels the requests; the peer logs the loss.
+        with contextlib.suppress(*rpc_client.CONNECTION_ERRORS):
+            while True:
+                message = await self.outgoing.get()
+                self.is_writing = True
+                await self.stream.send_message(message)
+                self.is_writing = False
+
+    def is_serving(self) -> bool:
+        """Return whether a request runs or its response is being written."""
+        if self.tasks or self.is_writing or not self.outgoing.empty():
+            return True
+        # grpclib has no public access to the transport of a stream.
+        transport = self.stream._stream.connection._transport
+        return bool(transport.get_write_buffer_size())
+
+
 class Service:
     """The gRPC service that peers send their requests to."""
 
     def __init__(self, handlers: RequestHandlers, pacer: pacing.Pacer) -> None:
         self.handlers = handlers
         self.pacer = pacer
+        self.exchanges: set[_Exchange] = set()
+
+    def is_serving(self) -> bool:
+        """Return whether a request runs or its response is being written."""
+        return any(exchange.is_serving() for exchange in self.exchanges)
 
     def __mapping__(self) -> dict[str, grpclib.const.Handler]:
         """Return the handlers by path, in the form that grpclib expects."""
@@ -97,11 +136,10 @@
 
     async def exchange(self, stream: typing.Any) -> None:
         """Serve the stream of one peer until it ends."""
-        outgoing: asyncio.Queue[stream_messages.ServerMessage] = (
-            asyncio.Queue()
-        )
-        tasks: dict[int, asyncio.Task[None]] = {}
-        writing = asyncio.create_task(_write(stream, outgoing))
+        exchange = _Exchange(stream)
+        outgoing, tasks = exchange.outgoing, exchange.tasks
+        writing = asyncio.create_task(exchange.write())
+        self.exchanges.add(exchange)
         try:
             while (message := await stream.recv_message()) is not None:
                 match message:
@@ -126,6 +164,7 @@
                         )
         finally:
             # The stream has ended: the responses can't be delivered any more.
+            self.exchanges.discard(exchange)
             for task in [*tasks.values(), writing]:
                 task.cancel()
 
@@ -156,18 +195,6 @@
     tasks.pop(number, None)
 
 
-async def _write(
-    stream: typing.Any,
-    outgoing: "asyncio.Queue[stream_messages.ServerMessage]",
-) -> None:
-    """Write queued messages until the connection is lost."""
-    # If the connection is lost, ``Service.exchange`` ends as well and cancels
-    # the requests; the peer logs the loss.
-    with contextlib.suppress(*rpc_client.CONNECTION_ERRORS):
-        while True:
-            await stream.send_message(await outgoing.get())
-
-
 def _response_messages(
     number: int, reply: stream_client.Reply
 ) -> collections.abc.Iterator[
--- a/packages/bronzepaddle/src/bronzepaddle/logs.py
+++ b/packages/bronzepaddle/src/bronzepaddle/logs.py
@@ -147,6 +147,16 @@
     eliot.log_message(message_type="bad-document", name=name, detail=detail)
 
 
+def stopped_early(callers_requests: int) -> None:
+    """Log that the process ends while requests are in flight.
+
+    ``callers_requests`` is the number of those that callers sent to it.
+    """
+    eliot.log_message(
+        message_type="stopped-early", callers_requests=callers_requests
+    )
+
+
 def write_failed(name: str, detail: str) -> None:
     """Log a failed write to the store; the next read shows its outcome."""
     eliot.log_message(message_type="write-failed", name=name, detail=detail)
--- a/tests/integration/test_sidecar.py
+++ b/tests/integration/test_sidecar.py
@@ -18,7 +18,7 @@
 import returns.result
 import urllib3
 from bronzepaddle import sidecar_options
-from bronzepaddle_node import sidecar
+from bronzepaddle_node import process_end, sidecar
 from support import local_addresses, odd_json
 
 from integration import platform_standins
@@ -453,10 +453,13 @@
         name: len(fleet.servers[name].received) for name in ("one", "two")
     }
     for process in (one, two):
-        process.local_backend.process_ends_at = process.clock.now() + 0.001
+        ends_at = process.clock.now() + 0.001
+        process.local_backend.process_end = process_end.ProcessEnd(
+            ends_at=ends_at
+        )
     response = fleet.send("three", "/keyed/a", 5)
     for process in (one, two):
-        process.local_backend.process_ends_at = float("inf")
+        process.local_backend.process_end = process_end.NEVER
     assert response.status == 503
     assert response.headers["Retry-After"]
     assert received == {
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -15,7 +15,7 @@
     verdicts,
 )
 from bronzepaddle_callers import buffered_app
-from bronzepaddle_node import peer_table, router
+from bronzepaddle_node import peer_table, process_end, router
 
 ME: typing.Final = ids.MemberId("me")
 SHOP: typing.Final = ids.ServiceName("shop")
@@ -162,8 +162,8 @@
     """
     stopping_router = ScriptedRouter([SERVED])
     stopping_router.mean_latencies_s["r"] = 0.3
-    stopping_router.process_ends_at = (
-        stopping_router.clock.now() + process_time_left_s
+    stopping_router.process_end = process_end.ProcessEnd(
+        ends_at=stopping_router.clock.now() + process_time_left_s
     )
     response = final_response(
         route_table.RouteKind.IDEMPOTENT, [], router_to_use=stopping_router
