Read chunked bodies up to the end of their trailer sections

Callers saw: with 80 kept connections that had sent a chunked body, the process read no request for seconds, though it was ready. A trailer was answered with a 400 of its own.

Cause: the line that ends a chunked body stayed on the connection, so the connection got a thread that waited for the next request line. Ruled out: too few threads for the requests (they are short; ten come each second).

Related paths, with the same class of cause: an unread or malformed chunked body was taken for the next request on its connection, so that a request could be smuggled in it; chunk lines and trailers had no bound.

Change: a reader of our own for chunked bodies reads in pieces to the end of the trailers and bounds each line; the connection is closed after a response that goes out before the body was read, or that says so.

--- a/packages/bronzepaddle-callers/src/bronzepaddle_callers/buffered_app.py
+++ b/packages/bronzepaddle-callers/src/bronzepaddle_callers/buffered_app.py
@@ -103,7 +103,10 @@
         """
         try:
             request = self._read_request()
-        except streaming_app.BadRequestError as error:
+        except (
+            streaming_app.BadRequestError,
+            http_messages.IncompleteBodyError,
+        ) as error:
             response = http_messages.rejection(
                 verdicts.Reason.BAD_REQUEST,
                 ids.MemberId(""),
@@ -121,7 +124,8 @@
     def _read_request(self) -> BufferedRequest:
         """Read the current request of this thread completely.
 
-        Raises ``BadRequestError`` or ``BodyTooLargeError``.
+        Raises ``BadRequestError``, ``IncompleteBodyError`` or
+        ``BodyTooLargeError``.
         """
         request = cherrypy.serving.request
         environ = request.wsgi_environ
@@ -166,7 +170,8 @@
     def _read_body(self, environ: dict[str, typing.Any]) -> bytes:
         """Return the whole body.
 
-        Raises ``BodyTooLargeError`` if it is larger than the limit.
+        Raises ``BodyTooLargeError`` if it is larger than the limit, and
+        ``IncompleteBodyError``.
         """
         length = streaming_app.body_length(environ)
         if length == 0:
--- a/packages/bronzepaddle-callers/src/bronzepaddle_callers/server.py
+++ b/packages/bronzepaddle-callers/src/bronzepaddle_callers/server.py
@@ -16,7 +16,7 @@
 import cherrypy
 from bronzepaddle import options
 
-from bronzepaddle_callers import buffered_app, streaming_app
+from bronzepaddle_callers import buffered_app, chunked_body, streaming_app
 
 LISTEN_BACKLOG: typing.Final = 512
 
@@ -61,6 +61,8 @@
 
     def get_environ(self) -> typing.Any:
         """Return the WSGI environment of a request, with its socket."""
+        if self.req.chunked_read:
+            self.req.rfile = chunked_body.ChunkedBody(self.req.conn.rfile)
         environ = super().get_environ()  # type: ignore[no-untyped-call]
         environ[buffered_app.SOCKET_KEY] = self.req.conn.socket
         if self.req.server.closing:
@@ -76,6 +78,24 @@
         with self.server.requests_in_progress:
             super().respond()
 
+    def send_headers(self) -> None:
+        """Write the head of the response.
+
+        What is left of the request's body must not be taken for another
+        request, so the connection is closed then.
+        """
+        body_left = self.chunked_read and not self.rfile.closed
+        if body_left or self._says_close():
+            self.close_connection = True
+        super().send_headers()
+
+    def _says_close(self) -> bool:
+        """Return whether the response announces that the connection closes."""
+        return any(
+            name.lower() == b"connection" and value.lower() == b"close"
+            for name, value in self.outheaders
+        )
+
 
 class _Connection(cheroot.server.HTTPConnection):
     RequestHandlerClass = _Request
--- a/packages/bronzepaddle-callers/src/bronzepaddle_callers/streaming_app.py
+++ b/packages/bronzepaddle-callers/src/bronzepaddle_callers/streaming_app.py
@@ -175,7 +175,8 @@
 ) -> collections.abc.Iterator[bytes]:
     """Yield the body of a request as it arrives.
 
-    Raises ``IncompleteBodyError`` if it is shorter than ``length``.
+    Raises ``IncompleteBodyError`` if it is shorter than ``length``, or if it
+    is chunked and malformed.
     """
     remaining = length
     while remaining is None or remaining > 0:
--- /dev/null
+++ b/tests/integration/test_request_framing.py
@@ -0,0 +1,172 @@
+"""Tests that what follows a request on its connection is the next request."""
+
+import collections.abc
+import socket
+import typing
+
+import pytest
+from bronzepaddle import http_messages, ids, options, verdicts
+from bronzepaddle_callers import buffered_app, server
+from bronzepaddle_platform import header_names
+
+MAX_BODY_BYTES: typing.Final = 1000
+THREADS: typing.Final = 2
+TIMEOUT_S: typing.Final = 30.0
+"""Time after which a request counts as unanswered."""
+
+
+class Echo:
+    """Serves requests with their own bodies, and keeps the requests."""
+
+    def __init__(self) -> None:
+        self.requests: list[buffered_app.BufferedRequest] = []
+        self.http_server = server.HttpServer(
+            buffered_app.BufferedApp(
+                self.serve, header_names.CALLER_HEADERS, lambda: MAX_BODY_BYTES
+            ),
+            options.Endpoint("127.0.0.1", 0),
+            server.Limits(THREADS, 8192, 60.0, 0.1),
+        )
+        self.http_server.start()
+
+    def serve(
+        self, request: buffered_app.BufferedRequest
+    ) -> http_messages.Response:
+        self.requests.append(request)
+        return http_messages.Response(
+            200,
+            (),
+            iter((request.body,)),
+            verdicts.Verdict.RAN,
+            verdicts.Reason.SERVED,
+            ids.MemberId("me"),
+        )
+
+    def connect(self) -> socket.socket:
+        address = self.http_server.address
+        caller = socket.create_connection((address.host, address.port))
+        caller.settimeout(TIMEOUT_S)
+        return caller
+
+
+@pytest.fixture
+def echo() -> collections.abc.Iterator[Echo]:
+    running = Echo()
+    yield running
+    running.http_server.stop(0.0)
+
+
+def request_bytes(framed_body: bytes, headers: bytes = b"") -> bytes:
+    return (
+        b"POST /a HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\n"
+        + headers
+        + b"Transfer-Encoding: chunked\r\n\r\n"
+        + framed_body
+    )
+
+
+def read_response(file: typing.BinaryIO) -> tuple[int, bytes]:
+    """Return status and body; status 0 if the connection is closed."""
+    line = file.readline()
+    if not line:
+        return 0, b""
+    length = 0
+    while (header := file.readline()) != b"\r\n":
+        name, _, value = header.partition(b":")
+        if name.lower() == b"content-length":
+            length = int(value)
+    return int(line.split()[1]), file.read(length)
+
+
+@pytest.mark.parametrize(
+    "trailers", [b"", b"X-Sum: 1\r\n", b"X-Sum: 1\r\nGET /b HTTP/1.1: 2\r\n"]
+)
+def test_trailer_section_belongs_to_its_body(
+    echo: Echo, trailers: bytes
+) -> None:
+    """A trailer section is read with its body, and not as a request.
+
+    Guards against a 400 on the same connection that belongs to no request.
+    """
+    body = b"5;x=y\r\nhello\r\n3\r\n...\r\n0\r\n" + trailers + b"\r\n"
+    with echo.connect() as caller, caller.makefile("rb") as file:
+        for _ in range(2):
+            caller.sendall(request_bytes(body))
+            assert read_response(file) == (200, b"hello...")
+    assert [request.target for request in echo.requests] == ["/a", "/a"]
+
+
+def test_idle_connections_after_chunked_bodies_hold_no_threads(
+    echo: Echo,
+) -> None:
+    """More kept connections than threads are idle after a chunked body.
+
+    Guards against a thread that waits on each of them, so that the process
+    reads no other request.
+    """
+    callers = []
+    body = b"5\r\nhello\r\n0\r\n\r\n"
+    for _ in range(4 * THREADS):
+        caller = echo.connect()
+        callers.append(caller)
+        caller.sendall(request_bytes(body))
+        with caller.makefile("rb") as file:
+            assert read_response(file) == (200, b"hello")
+    for caller in callers:
+        caller.close()
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"5\r\nhello!\r\n0\r\n\r\n",
+        b"-5\r\nhello\r\n0\r\n\r\n",
+        b"0x5\r\nhello\r\n0\r\n\r\n",
+        b"\r\n5\r\nhello\r\n0\r\n\r\n",
+        b"5 " + b"x" * 10_000 + b"\r\nhello\r\n0\r\n\r\n",
+        b"0\r\n" + b"X-Sum: 1\r\n" * 10_000 + b"\r\n",
+    ],
+)
+def test_malformed_chunks_are_rejected(echo: Echo, body: bytes) -> None:
+    """A malformed body is refused, and its connection closed.
+
+    Guards against lines without end that are kept, and against bytes of a
+    body that are taken for another request.
+    """
+    smuggled = b"GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n"
+    with echo.connect() as caller, caller.makefile("rb") as file:
+        caller.sendall(request_bytes(body + smuggled))
+        assert read_response(file)[0] == 400
+        assert ended(file)
+    assert not echo.requests
+
+
+@pytest.mark.parametrize(
+    ("headers", "status"), [(b"Deadline-Ms: soon\r\n", 400), (b"", 413)]
+)
+def test_unread_chunked_body_is_no_request(
+    echo: Echo, headers: bytes, status: int
+) -> None:
+    """A connection is closed after a request refused before its body.
+
+    Guards against a request that is smuggled inside a body.
+    """
+    smuggled = b"GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n"
+    body = smuggled if headers else b"x" * (MAX_BODY_BYTES + 1) + smuggled
+    with echo.connect() as caller, caller.makefile("rb") as file:
+        caller.sendall(
+            request_bytes(
+                b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body), headers
+            )
+        )
+        assert read_response(file)[0] == status
+        assert ended(file)
+    assert not echo.requests
+
+
+def ended(file: typing.BinaryIO) -> bool:
+    """Return whether the connection ends; a reset counts as well."""
+    try:
+        return file.read(1) == b""
+    except ConnectionResetError:
+        return True
