Give a connection a thread only once it has a request

Found on a path related to the kept connections after chunked bodies: the HTTP server passes a new connection to a worker thread at once, which then waits for its first request. As many unused connections as threads stop the process from reading requests until their idle timeout.

Change: a new connection without anything to read waits in the selector like a kept one.

test_connections_without_a_request_hold_no_threads failed before (no answer within 30 s) and passes after.

--- a/packages/bronzepaddle-callers/src/bronzepaddle_callers/server.py
+++ b/packages/bronzepaddle-callers/src/bronzepaddle_callers/server.py
@@ -8,6 +8,8 @@
 import concurrent.futures
 import dataclasses
 import math
+import select
+import socket
 import threading
 import typing
 
@@ -133,6 +135,18 @@
         super().__init__(*args, **kwargs)
         self.requests_in_progress = _Counter()
 
+    def process_conn(self, conn: typing.Any) -> None:
+        """Pass a connection to a worker thread once it has a request.
+
+        cheroot passes on new connections at once, and the thread then waits
+        for the first request.
+        """
+        is_new = conn.last_used is None
+        if is_new and not _is_readable(conn.socket):
+            self.put_conn(conn)
+        else:
+            super().process_conn(conn)
+
     def start_threads(self) -> None:
         """Listen and serve in the background.
 
@@ -252,5 +266,12 @@
     return wrapper
 
 
+def _is_readable(connection: socket.socket) -> bool:
+    """Return whether there is something to read, or the connection ended."""
+    poll = select.poll()
+    poll.register(connection, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def _no_access_log() -> None:
     """Write no access log."""
--- a/tests/integration/test_request_framing.py
+++ b/tests/integration/test_request_framing.py
@@ -116,6 +116,22 @@
         caller.close()
 
 
+def test_connections_without_a_request_hold_no_threads(echo: Echo) -> None:
+    """More connections than threads are open that no request was sent on.
+
+    Guards against a thread that waits on each of them, so that the process
+    reads no request.
+    """
+    unused = [echo.connect() for _ in range(4 * THREADS)]
+    with echo.connect() as caller, caller.makefile("rb") as file:
+        caller.sendall(request_bytes(b"5\r\nhello\r\n0\r\n\r\n"))
+        assert read_response(file) == (200, b"hello")
+    for connection in unused:
+        with connection, connection.makefile("rb") as file:
+            connection.sendall(request_bytes(b"2\r\nhi\r\n0\r\n\r\n"))
+            assert read_response(file) == (200, b"hi")
+
+
 @pytest.mark.parametrize(
     "body",
     [
