Pass on queries, cookies and headers that the HTTP library can't parse

Callers saw: a query with an escape that is no UTF-8 was answered with 404, a cookie with an odd name with 400, a parameter named self and a header with an unknown encoded word with 500, before the router had the request.

Cause: CherryPy parses queries, cookies and header values before it calls the application, and passes the parameters of the query to it as arguments.

Change: a request class that leaves them alone, for all ports but the control port of a cell's member, whose commands have parameters.

--- a/packages/bronzepaddle-callers/src/bronzepaddle_callers/server.py
+++ b/packages/bronzepaddle-callers/src/bronzepaddle_callers/server.py
@@ -18,7 +18,12 @@
 import cherrypy
 from bronzepaddle import options
 
-from bronzepaddle_callers import buffered_app, chunked_body, streaming_app
+from bronzepaddle_callers import (
+    buffered_app,
+    chunked_body,
+    streaming_app,
+    unparsed_request,
+)
 
 LISTEN_BACKLOG: typing.Final = 512
 
@@ -191,12 +196,21 @@
 
 
 class HttpServer:
-    """A CherryPy application with its listening port and worker threads."""
+    """A CherryPy application with its listening port and worker threads.
+
+    ``parse_queries`` passes the parameters of queries to the handlers.
+    """
 
     def __init__(
-        self, root: object, listen: options.Endpoint, limits: Limits
+        self,
+        root: object,
+        listen: options.Endpoint,
+        limits: Limits,
+        parse_queries: bool = False,
     ) -> None:
         application = cherrypy.Application(root, "", _CONFIG)
+        if not parse_queries:
+            application.request_class = unparsed_request.Request
         application.log.screen = False
         # Each request is logged by the router; don't log it twice.
         application.log.access = _no_access_log
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/node.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/node.py
@@ -193,6 +193,7 @@
             server.Limits(
                 CONTROL_THREADS, settings.max_header_bytes, settings.idle_s, 1
             ),
+            parse_queries=True,
         )
         self.caller_server.start()
         self.control_server.start()
--- a/tests/integration/test_request_framing.py
+++ b/tests/integration/test_request_framing.py
@@ -180,6 +180,38 @@
     assert not echo.requests
 
 
+@pytest.mark.parametrize(
+    ("target", "header"),
+    [
+        (b"/a?q=%ff", b""),
+        (b"/a?self=1&_segments=2", b""),
+        (b"/a?q=%c3(&q", b""),
+        (b"/a", b"Cookie: a/b[=1; $c\r\n"),
+        (b"/a", b"Cookie: =\r\n"),
+        (b"/a", b"X-Odd: =?nosuch?q?=ff?=\r\n"),
+        (b"/a", b'Content-Type: ;="\r\n'),
+    ],
+)
+def test_odd_query_and_headers_are_passed_on(
+    echo: Echo, target: bytes, header: bytes
+) -> None:
+    """A query or header that only the backend server understands.
+
+    Guards against the HTTP library answering 404, 400 or 500 by itself.
+    """
+    with echo.connect() as caller, caller.makefile("rb") as file:
+        caller.sendall(
+            b"GET " + target + b" HTTP/1.1\r\nHost: h\r\n" + header + b"\r\n"
+        )
+        assert read_response(file) == (200, b"")
+    (request,) = echo.requests
+    assert request.target.encode() == target
+    if header:
+        name, _, value = header.decode().strip().partition(": ")
+        received = [(name.lower(), value) for name, value in request.headers]
+        assert (name.lower(), value) in received
+
+
 def ended(file: typing.BinaryIO) -> bool:
     """Return whether the connection ends; a reset counts as well."""
     try:
