Take SIGHUP during the start of a process for a reload

Operators saw: SIGHUP in the first 0.7 s of a process ended it.

Cause: the signal kept its default action until the event loop handled it, after all imports. A change of the file between the reading of the settings and the start of the reloader was missed as well.

Change: main handles the signal before it imports the program and hands over that it came; the reloader starts from the content that the settings were read from.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/__init__.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/__init__.py
@@ -1,7 +1,7 @@
 """The process that runs on the VM of each backend server.
 
-``main`` is the ``bronzepaddled`` program.  It runs one of two kinds of
-process:
+``main`` starts ``program``, the ``bronzepaddled`` program.  It runs one of two
+kinds of process:
 
 - ``node`` is the composition root of a process that is a member of a cell.
   ``cell_router`` routes callers' requests, ``owner`` serves those for keys
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/reloading.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/reloading.py
@@ -22,14 +22,18 @@
 
 
 class Reloader:
-    """Watches a settings file and passes changed settings to ``apply``."""
+    """Watches a settings file and passes changed settings to ``apply``.
 
-    def __init__(self, path: pathlib.Path, apply: Apply) -> None:
+    ``content`` is that of the file whose settings are in effect.
+    """
+
+    def __init__(
+        self, path: pathlib.Path, apply: Apply, content: bytes
+    ) -> None:
         self.path = path
         self.apply = apply
         self.reload_requested = asyncio.Event()
-        self.content = b""
-        self.content = self._read()
+        self.content = content
 
     def request_reload(self) -> None:
         """Check the file now instead of at the next interval."""
--- a/tests/test_sidecar_options.py
+++ b/tests/test_sidecar_options.py
@@ -83,7 +83,9 @@
 
     async def change_settings() -> None:
         reloader = reloading.Reloader(
-            path, lambda settings: applied.append(settings.retry_share)
+            path,
+            lambda settings: applied.append(settings.retry_share),
+            path.read_bytes(),
         )
         for share in ("0.2", "0.3", "much", "0.4"):
             path.write_text(VALID.replace("0.2", share), encoding="utf-8")
