Close the callers' port in the background while a process stops

The stop waited for it in the default executor, which the end of the event loop waits for as well; if a thread of the HTTP server was stuck, the process could have outlasted its grace time by up to 0.2 s (by reading, not run).

--- a/packages/bronzepaddle-callers/src/bronzepaddle_callers/server.py
+++ b/packages/bronzepaddle-callers/src/bronzepaddle_callers/server.py
@@ -180,14 +180,18 @@
         prepared.set_result(None)
         self.serve()
 
+    def begin_stop(self) -> threading.Thread:
+        """Begin to stop the server; return the thread that stops it."""
+        stopper = threading.Thread(target=self.stop, daemon=True)
+        stopper.start()
+        return stopper
+
     def stop_threads(self) -> None:
         """Stop the server; return after the time limit in any case.
 
         Requests that still run then keep their worker threads.
         """
-        stopper = threading.Thread(target=self.stop, daemon=True)
-        stopper.start()
-        stopper.join(self.shutdown_timeout + STOP_SLACK_S)
+        self.begin_stop().join(self.shutdown_timeout + STOP_SLACK_S)
 
     def error_log(
         self, msg: str = "", level: int = 20, traceback: bool = False
@@ -248,6 +252,11 @@
         host, port = self.cheroot_server.bind_addr
         return options.Endpoint(str(host), int(port))
 
+    def begin_stop(self, drain_s: float) -> threading.Thread:
+        """Stop like ``stop``, in the background; return its thread."""
+        self.cheroot_server.shutdown_timeout = drain_s
+        return self.cheroot_server.begin_stop()
+
     def stop(self, drain_s: float | None = None) -> None:
         """Stop listening and wait for running requests for a limited time.
 
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -594,9 +594,9 @@
             # Requests that arrive from here on are rejected, so that no more
             # are running when the process ends.
             self._set_end(process_end.NOW)
-            await self.loop.run_in_executor(
-                None, self.caller_server.stop, CLOSE_TIMEOUT_S
-            )
+            stopping = self.caller_server.begin_stop(CLOSE_TIMEOUT_S)
+            while stopping.is_alive() and self.clock.now() < ends_at:
+                await self.clock.sleep(STOP_POLL_S)
             await self._wait_for_requests(ends_at)
         logs.process("stopped", self.settings.name)
 
