--- a/packages/bronzepaddle-callers/src/bronzepaddle_callers/unparsed_request.py
+++ b/packages/bronzepaddle-callers/src/bronzepaddle_callers/unparsed_request.py
@@ -5,10 +5,10 @@
 the handler as arguments, some of which it doesn't take.
 """
 
-from cherrypy import _cprequest
+import cherrypy._cprequest
 
 
-class Request(_cprequest.Request):  # type: ignore[misc]
+class Request(cherrypy._cprequest.Request):  # type: ignore[misc]
     """A request of which CherryPy interprets only the ``Host`` header.
 
     ``header_list`` and the WSGI environment contain all of it.
