Test the memory of a process whose server sends without end

Operators of another system reported that a faulty server's endless bytes took the machine that had called it over its memory.

The test holds the highest resident memory of a process under the 200 MB of the smallest VM, with 40 callers.

--- /dev/null
+++ b/tests/integration/test_endless_memory.py
@@ -0,0 +1,120 @@
+"""Tests of the memory of a process whose backend server sends without end."""
+
+import collections.abc
+import pathlib
+import socket
+import threading
+import typing
+
+import pytest
+import test_endless_responses as endless
+
+from integration import platform_standins, test_explaining
+
+MEMORY_KB: typing.Final = 200 * 1024
+"""Memory of the smallest VM."""
+
+CALLERS: typing.Final = 40
+ROUNDS: typing.Final = 2
+
+
+class EndlessServer(platform_standins.AppServer):
+    """Sends on each connection, after a request, until the client closes."""
+
+    def __init__(
+        self,
+        server_id: str,
+        service: str,
+        response_bytes: endless.ResponseBytes,
+    ) -> None:
+        super().__init__(server_id, service)
+        self.response_bytes = response_bytes
+        self.listening = socket.create_server(("127.0.0.1", 0))
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    @property
+    def address(self) -> str:
+        """Return the address of the endless responses."""
+        return "{}:{}".format(*self.listening.getsockname())
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                connection, _ = self.listening.accept()
+            except OSError:
+                return
+            threading.Thread(
+                target=self._send, args=(connection,), daemon=True
+            ).start()
+
+    def _send(self, connection: socket.socket) -> None:
+        with connection:
+            try:
+                request = connection.recv(65536)
+                request_id = request.partition(b"Request-Id: ")[2]
+                own = b"Request-Id: " + request_id.partition(b"\r\n")[0]
+                for piece in self.response_bytes():
+                    connection.sendall(piece.replace(b"Request-Id: r-1", own))
+            except OSError:
+                return
+
+    def stop(self) -> None:
+        """Stop listening."""
+        self.listening.close()
+        super().stop()
+
+
+class Fleet(test_explaining.Fleet):
+    """Two processes, of which one has an endless server."""
+
+    def __init__(
+        self, folder: pathlib.Path, response_bytes: endless.ResponseBytes
+    ) -> None:
+        super().__init__(folder)
+        self.servers["three"].stop()
+        self.servers["three"] = EndlessServer(
+            "i-endless", "plain", response_bytes
+        )
+
+    def peak_memory_kb(self, name: str) -> int:
+        """Return the highest resident memory of a process so far."""
+        pid = self.processes[name].pid
+        status = pathlib.Path(f"/proc/{pid}/status").read_text("ascii")
+        return int(status.partition("VmHWM:")[2].split()[0])
+
+
+@pytest.fixture(params=endless.ENDLESS)
+def fleet(
+    tmp_path: pathlib.Path, request: pytest.FixtureRequest
+) -> collections.abc.Iterator[Fleet]:
+    running = Fleet(tmp_path, request.param)
+    try:
+        yield running
+    finally:
+        running.stop()
+
+
+def test_endless_responses_take_no_process_over_its_memory(
+    fleet: Fleet,
+) -> None:
+    """Many requests at once get responses that never end.
+
+    Guards against a process that keeps all that a faulty server sends, and
+    ends with the requests of all other callers.
+    """
+    server = fleet.servers["three"]
+    control = fleet.addresses["three"]["control"]
+    fleet.wait_until(
+        lambda: test_explaining.try_announce(server, control), "announced"
+    )
+    fleet.wait_until(
+        lambda: fleet.send("three", "/plain/a", "r-0").status == 502,
+        "the endless server is used",
+    )
+    for number in range(ROUNDS):
+        sent = fleet.send_many(CALLERS, "/plain/a", f"r-{number}")
+        statuses = {response.result().status for response in sent.values()}
+        assert statuses <= {502, 503}
+    assert fleet.processes["three"].poll() is None
+    assert fleet.peak_memory_kb("three") < MEMORY_KB
+    assert fleet.send("three", "/nowhere/a", "r-9").status == 404
