Log what shows that a grant of keys counts as over

The lines didn't say why a process counted a replaced grant as over, nor how much of its time was left: a release that the server confirmed, a refused connection and a new run looked alike in the next owner's log. `grant-ended` names the evidence and the time left; `grant-late` names a grant whose response came so late that it may outlast the lease. `explain holders` shows the first. No decision changes; the issued grants now keep the time until which they may be in effect.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/issued_grants.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/issued_grants.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import enum
 import typing
 
 from bronzepaddle import ids, key_ranges
@@ -16,6 +17,14 @@
 """The first key, last key and token of a grant that was sent."""
 
 
+class Evidence(enum.Enum):
+    """What shows that a grant is over."""
+
+    RELEASED = "released"
+    REFUSED = "refused"
+    NEW_RUN = "new-run"
+
+
 @dataclasses.dataclass(frozen=True)
 class ReleasedGrant:
     """Keys that this process has released, with the token of their grant.
@@ -58,51 +67,55 @@
 
 
 class IssuedGrants:
-    """The grants sent to one server run; for the event loop only."""
+    """The grants sent to one server run; for the event loop only.
+
+    ``held_until`` maps each of them to the time until which it may be in
+    effect at the server.
+    """
 
     def __init__(self) -> None:
         self.run = statuses.NO_SERVER_RUN
-        self.grants: list[IssuedGrant] = []
+        self.held_until: dict[IssuedGrant, float] = {}
 
-    def add(self, key_range: key_ranges.Range) -> None:
+    def add(self, key_range: key_ranges.Range, held_until: float) -> None:
         """Record a grant; it replaces grants of parts of its range."""
         grant = (key_range.first, key_range.last, key_range.token)
-        if grant in self.grants:
-            return
-        kept = [
+        replaced = [
             (first, last, token)
-            for first, last, token in self.grants
-            if token != key_range.token
-            or last < key_range.first
-            or key_range.last < first
+            for first, last, token in self.held_until
+            if token == key_range.token
+            and first <= key_range.last
+            and key_range.first <= last
         ]
-        self.grants = [*kept, grant]
+        until = max(held_until, *map(self.held_until.pop, replaced), 0.0)
+        self.held_until[grant] = until
 
-    def set_run(self, run: str) -> list[IssuedGrant]:
+    def set_run(self, run: str) -> dict[IssuedGrant, float]:
         """Set the run of the server.
 
         A new run holds no keys, so the grants of the last one are removed and
         returned.
         """
         if run == self.run:
-            return []
-        ended_grants, self.grants = self.grants, []
+            return {}
+        ended_grants, self.held_until = self.held_until, {}
         self.run = run
         return ended_grants
 
     def pop_replaced(
         self, ownership: key_ranges.Ownership
-    ) -> list[IssuedGrant]:
+    ) -> dict[IssuedGrant, float]:
         """Remove and return the grants that an ownership has replaced."""
-        kept: list[IssuedGrant] = []
-        replaced: list[IssuedGrant] = []
-        for issued_first, issued_last, token in self.grants:
+        kept: dict[IssuedGrant, float] = {}
+        replaced: dict[IssuedGrant, float] = {}
+        for grant, until in self.held_until.items():
+            issued_first, issued_last, token = grant
             for key_range in ownership.ranges:
                 shared = key_ranges.overlap(
                     issued_first, issued_last, key_range.first, key_range.last
                 )
                 if shared is not None:
                     target = kept if key_range.token == token else replaced
-                    target.append((*shared, token))
-        self.grants = kept
+                    target[(*shared, token)] = until
+        self.held_until = kept
         return replaced
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/reconciler.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/reconciler.py
@@ -451,7 +451,8 @@
             await self._grant_all(own_ranges)
         elif self.tracker.unreachable:
             # Nothing listens there: the run has ended and holds no keys.
-            for grant in self.reported_grants.pop_pending():
+            for grant, until in self.reported_grants.pop_pending().items():
+                self._log_end(grant, until, issued_grants.Evidence.REFUSED)
                 self._record_released(grant, "")
         await self._write_releases()
 
@@ -463,7 +464,8 @@
         Returns the ranges that it assigns to this run of the server.
         """
         # A run that has ended holds no keys any more.
-        for ended in self.issued_grants.set_run(run):
+        for ended, until in self.issued_grants.set_run(run).items():
+            self._log_end(ended, until, issued_grants.Evidence.NEW_RUN)
             self._record_released(ended, "")
         if self.reported_grants.run != run:
             self.reported_grants = reported_grants.ReportedGrants(run)
@@ -536,12 +538,15 @@
         until: float,
     ) -> None:
         """Let requests use the ranges of an order, as far as accepted."""
+        order_s = until - self.clock.now()
         held_before = {
             (held.first, held.last, held.token) for held in self.held.ranges
         }
         usable = []
         for key_range in ordered:
-            self.issued_grants.add(key_range)
+            self.issued_grants.add(
+                key_range, until + order_s * self.settings.times.drift
+            )
             grant = (key_range.first, key_range.last, key_range.token)
             if self.reported_grants.accepted(grant, report):
                 usable.append(held_keys.GrantedRange(*grant, until))
@@ -584,13 +589,26 @@
         if kept != held_before:
             self.held.set(kept)
             self.on_held_changed()
-        for grant in self.issued_grants.pop_replaced(ownership):
+        replaced = self.issued_grants.pop_replaced(ownership)
+        for grant, held_until in replaced.items():
             if self._takes_grants_by_report():
                 until = self.clock.now() + self.settings.times.wait_s
                 self.reported_grants.await_release(grant, until)
             elif grant not in self.releasing:
                 self.releasing.add(grant)
-                self.background_tasks.start(self._release(grant), "release")
+                self.background_tasks.start(
+                    self._release(grant, held_until), "release"
+                )
+
+    def _log_end(
+        self,
+        grant: issued_grants.IssuedGrant,
+        held_until: float,
+        evidence: issued_grants.Evidence,
+    ) -> None:
+        """Log why a grant counts as over."""
+        left_s = max(0.0, held_until - self.clock.now())
+        logs.grant_ended(*grant, evidence.value, left_s)
 
     def _record_released(
         self, grant: issued_grants.IssuedGrant, handover: str
@@ -609,7 +627,9 @@
         )
         self.wakeup.set()
 
-    async def _release(self, grant: issued_grants.IssuedGrant) -> None:
+    async def _release(
+        self, grant: issued_grants.IssuedGrant, held_until: float
+    ) -> None:
         """Tell the server to release keys, and record it once it has."""
         first, last, token = grant
         try:
@@ -619,10 +639,16 @@
             outcome = await commands.release(first, last, token)
             logs.keys_released(first, last, token, outcome.detail)
             if outcome.done:
+                self._log_end(
+                    grant, held_until, issued_grants.Evidence.RELEASED
+                )
                 self._record_released(grant, outcome.handover)
         except connections.CommandNotSentError as error:
             logs.order_failed("release", first, last, repr(error))
             if error.ended:
+                self._log_end(
+                    grant, held_until, issued_grants.Evidence.REFUSED
+                )
                 # Nothing listens there: the run has ended and holds no keys.
                 self._record_released(grant, "")
         except connections.CommandLostError as error:
@@ -675,7 +701,8 @@
             key_range.handover,
         )
         sent_at = self.clock.now()
-        self.issued_grants.add(key_range)
+        longest_hold_s = hold_s * (1 + self.settings.times.drift)
+        self.issued_grants.add(key_range, sent_at + longest_hold_s)
         try:
             outcome = await commands.grant(grant)
         except connections.CommandNotSentError as error:
@@ -692,6 +719,7 @@
                 "grant", key_range.first, key_range.last, repr(error)
             )
             return
+        self._log_if_late(key_range, self.clock.now() + longest_hold_s)
         if not outcome.done:
             logs.order_failed(
                 "grant", key_range.first, key_range.last, outcome.detail
@@ -701,6 +729,16 @@
         if run == self.held.run and self._still_owned(key_range):
             self._record_grant(key_range, sent_at + hold_s)
 
+    def _log_if_late(
+        self, key_range: key_ranges.Range, held_until: float
+    ) -> None:
+        """Log a grant that may outlast the lease, as of its response."""
+        late_s = held_until - self.lease.valid_until
+        if late_s > 0:
+            logs.grant_late(
+                key_range.first, key_range.last, key_range.token, late_s
+            )
+
     def _still_owned(self, key_range: key_ranges.Range) -> bool:
         """Return whether a range is still assigned to this member."""
         return any(
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/reported_grants.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/reported_grants.py
@@ -46,9 +46,9 @@
         """Expect the release of a grant that orders no longer contain."""
         self.pending[grant] = until
 
-    def pop_pending(self) -> list[issued_grants.IssuedGrant]:
+    def pop_pending(self) -> dict[issued_grants.IssuedGrant, float]:
         """Remove and return the grants to be released: the run has ended."""
-        pending, self.pending = list(self.pending), {}
+        pending, self.pending = self.pending, {}
         return pending
 
     def record(
--- a/packages/bronzepaddle-operators/src/bronzepaddle_operators/log_history.py
+++ b/packages/bronzepaddle-operators/src/bronzepaddle_operators/log_history.py
@@ -55,6 +55,8 @@
     last: int = -1
     token: int = 0
     order: str = ""
+    evidence: str = ""
+    left_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -114,6 +116,11 @@
                 event = f"holds it with token {line.token}"
             case "keys-released":
                 event = f"released it (token {line.token})"
+            case "grant-ended":
+                event = (
+                    f"the grant with token {line.token} counts as over "
+                    f"({line.evidence}), {line.left_s:.3f} s before its time"
+                )
             case "order-failed":
                 event = f"{line.order} failed: {line.detail}"
             case _:
--- a/packages/bronzepaddle/src/bronzepaddle/logs.py
+++ b/packages/bronzepaddle/src/bronzepaddle/logs.py
@@ -184,6 +184,38 @@
     )
 
 
+def grant_ended(
+    first: int, last: int, token: ids.Token, evidence: str, left_s: float
+) -> None:
+    """Log that a replaced grant counts as over.
+
+    ``evidence`` is what shows it, ``left_s`` the rest of the time for which
+    the server may hold the keys under the grant.
+    """
+    eliot.log_message(
+        message_type="grant-ended",
+        first=first,
+        last=last,
+        token=token,
+        evidence=evidence,
+        left_s=round(left_s, 3),
+    )
+
+
+def grant_late(first: int, last: int, token: ids.Token, late_s: float) -> None:
+    """Log a grant that may last longer than the lease that it rests on.
+
+    ``late_s`` is by how much.
+    """
+    eliot.log_message(
+        message_type="grant-late",
+        first=first,
+        last=last,
+        token=token,
+        late_s=round(late_s, 3),
+    )
+
+
 def order_failed(order: str, first: int, last: int, detail: str) -> None:
     """Log a grant or release that the backend server did not confirm."""
     eliot.log_message(
