--- a/tests/support/fake_servers.py
+++ b/tests/support/fake_servers.py
@@ -34,7 +34,8 @@
 
     ``fleet`` is the simulation that it belongs to.
     ``held`` are the grants still in effect, without the parts that were
-    released; ``accepted`` are all grants that this run ever accepted.
+    released; ``accepted`` are all grants that this run ever accepted.  A
+    server that is up but not ``listening`` refuses connections.
     """
 
     def __init__(
@@ -45,6 +46,7 @@
         self.run = run
         self.rate = fleet.rng.choice(SERVER_CLOCK_RATES)
         self.up = True
+        self.listening = True
         self.draining = False
         self.held: list[AcceptedGrant] = []
         self.accepted: list[AcceptedGrant] = []
@@ -256,10 +258,10 @@
         return key_grants.CommandResult(True, "handover", "")
 
     async def _connect(self) -> None:
-        """Reach the server; raises ``CommandNotSentError`` if it has ended.
+        """Reach the server; raises ``CommandNotSentError`` if it refuses.
 
         The error says so by its second argument, ``ended``.
         """
         await asyncio.sleep(0.0005)
-        if not self.server.up:
+        if not (self.server.up and self.server.listening):
             raise connections.CommandNotSentError("refused", True)
--- a/tests/support/simulated_fleet.py
+++ b/tests/support/simulated_fleet.py
@@ -68,6 +68,8 @@
         )
         self.started_ms = started_ms
         self.announcement_sequence = 0
+        # Whether the announcements of the server are held up on their way.
+        self.announcements_held_up = False
         self.status_sequence = 0
         self.tracker = server_tracker.Tracker(ANNOUNCE_INTERVAL_S)
         self.held = held_keys.HeldKeys()
@@ -131,6 +133,9 @@
         while True:
             server = self.server
             pause_s = ANNOUNCE_INTERVAL_S
+            if self.announcements_held_up:
+                await self.clock.sleep(pause_s)
+                continue
             match server:
                 case fake_servers.ReportingServer() if server.up:
                     self.report_soon(server)
@@ -190,6 +195,29 @@
             self.held.set_run(announcement.run)
         return recorded
 
+    def receive_earlier_announcement(self) -> None:
+        """Process a delayed announcement of an earlier run of the server."""
+        server = self.server
+        keys = (
+            key_reports.KeyReport((), ())
+            if isinstance(server, fake_servers.ReportingServer)
+            else None
+        )
+        announcement = server_tracker.Announcement(
+            "i-earlier",
+            SERVICE,
+            "127.0.0.1",
+            1,
+            9,
+            server_tracker.AnnouncedState.READY,
+            1,
+            1,
+            0.0,
+            keys,
+        )
+        if self.tracker.record(announcement, self.clock.now()):
+            self.held.set_run(announcement.run)
+
     async def _send_statuses(self) -> None:
         while True:
             self.send_status()
