--- a/bench/owner_soak.py
+++ b/bench/owner_soak.py
@@ -72,7 +72,7 @@
                 folder.mkdir(parents=True, exist_ok=True)
             outcome = asyncio.run(soak(folder, processes, seconds, number))
         found = [violation.line for violation in outcome.violations]
-        found += outcome.ended_processes
+        found += outcome.failures
         for line in found:
             click.echo(f"seed {number}: {line}")
         click.echo(f"seed {number}: {len(found)} found; {outcome.summary}")
--- a/tests/support/server_reports.py
+++ b/tests/support/server_reports.py
@@ -43,13 +43,11 @@
         self.acknowledged = 0
         self.tasks: set[asyncio.Task[None]] = set()
 
-    async def run(self) -> None:
-        """Report periodically; a server that has crashed is silent."""
-        while True:
-            run = self.server.current
-            if run is not None:
-                document = self._document(run.born_ms, next(run.sequence))
-                self._send_in_background(run.server_id, document)
+    async def report(self, run: key_holding_servers.ServerRun) -> None:
+        """Report a run from its start until it has ended."""
+        while run.up:
+            document = self._document(run.born_ms, next(run.sequence))
+            self._send_in_background(run.server_id, document)
             await asyncio.sleep(INTERVAL_S)
 
     def _document(
--- a/tests/support/soak_rig.py
+++ b/tests/support/soak_rig.py
@@ -42,6 +42,7 @@
 REQUESTS_PER_S: typing.Final = 60.0
 """Rate of the requests of all callers together."""
 
+CALLERS_PER_VM: typing.Final = 3
 DEADLINE_MS: typing.Final = 2000
 HOT_KEYS: typing.Final = range(20_000, 20_064)
 HOT_SHARE: typing.Final = 0.7
@@ -118,11 +119,12 @@
 class Outcome:
     """What a run of the rig has found.
 
-    ``ended_processes`` are lines on processes that ended by themselves.
+    ``failures`` are lines on processes that ended by themselves.
     """
 
     violations: list[owner_observer.Violation]
-    ended_processes: list[str]
+    failures: list[str]
+    requests_begun: int
     summary: str
 
 
@@ -144,7 +146,7 @@
             for number, service in enumerate(services)
         ]
         self.tasks: set[asyncio.Task[None]] = set()
-        self.ended_processes: list[str] = []
+        self.failures: list[str] = []
         self.responses: collections.Counter[int] = collections.Counter()
         self.record = (folder / "record.txt").open("w", encoding="utf-8")
 
@@ -187,7 +189,12 @@
         violations = owner_observer.violations(self.history)
         for violation in violations:
             self.note(violation.line)
-        outcome = Outcome(violations, self.ended_processes, self._summary())
+        outcome = Outcome(
+            violations,
+            self.failures,
+            len(self.history.work),
+            self._summary(),
+        )
         self.note(outcome.summary)
         self.record.close()
         return outcome
@@ -211,7 +218,6 @@
             await vm.store_port.listener.open()
             await self._start_server(vm)
             self._start_process(vm)
-            self._in_background(vm.reporter.run())
         gives_up_at = self.clock.now() + START_TIMEOUT_S
         while not self._all_keys_held():
             if self.clock.now() > gives_up_at:
@@ -219,7 +225,7 @@
             await asyncio.sleep(POLL_S)
         self.note("all keys are held")
         self._in_background(self._watch_processes())
-        for vm in self.vms:
+        for vm in self.vms * CALLERS_PER_VM:
             self._in_background(self._send_requests(vm))
 
     def _all_keys_held(self) -> bool:
@@ -228,6 +234,7 @@
 
     async def _start_server(self, vm: Vm, same_id: bool = False) -> None:
         run = await vm.server.start(time.time_ns() // 1_000_000, same_id)
+        self._in_background(vm.reporter.report(run))
         self.note(f"server {run.run} at {vm.server.listener.address}")
 
     def _start_process(self, vm: Vm) -> None:
@@ -306,7 +313,7 @@
                         f" {vm.process.returncode}"
                     )
                     self.note(text)
-                    self.ended_processes.append(text)
+                    self.failures.append(text)
                     self._start_process(vm)
             await asyncio.sleep(POLL_S)
 
@@ -322,13 +329,13 @@
         if not task.cancelled() and task.exception() is not None:
             text = f"the rig failed: {task.exception()!r}"
             self.note(text)
-            self.ended_processes.append(text)
+            self.failures.append(text)
 
     # Callers.
 
     async def _send_requests(self, vm: Vm) -> None:
         """Send requests one by one on a connection that stays open."""
-        interval_s = len(self.vms) / REQUESTS_PER_S
+        interval_s = len(self.vms) * CALLERS_PER_VM / REQUESTS_PER_S
         number = 0
         while True:
             try:
