End a replaced grant by the server's answer or by its time, never by a refusal

What was seen: two servers hold the same keys for 1.4 to 1.9 s after a live server has refused connections for 0.6 s (trial with real processes on; trace in docs/incidents/two-holders-of-keys.md).

Cause: a refused connection was taken for the end of the server's run, so a release that could not be sent counted as done, and in the other way of granting all releases still awaited did. The next owner was told that the keys are free and didn't wait for a lease, while the server held them under the grant before. A closed, full or not yet bound port refuses as well.

Change: each grant is kept with the time until which it may be in effect, counted from the response to it. A replaced grant is over once the server has confirmed its release, which is asked for again every 0.5 s, or once that time has passed. The time of a grant without a response now counts from when the wait for the response ended: its bytes may have left late.

--- a/packages/bronzepaddle-backend/src/bronzepaddle_backend/connections.py
+++ b/packages/bronzepaddle-backend/src/bronzepaddle_backend/connections.py
@@ -429,8 +429,7 @@
                 else self._connect(CONNECT_TIMEOUT_S)
             )
         except (OSError, urllib3.exceptions.HTTPError) as error:
-            ended = _connection_refused(error)
-            raise CommandNotSentError(repr(error), ended) from error
+            raise CommandNotSentError(repr(error)) from error
         try:
             connection.timeout = timeout_s
             connection.sock.settimeout(timeout_s)
@@ -506,14 +505,7 @@
 
 
 class CommandNotSentError(Exception):
-    """No byte of a command has reached the server.
-
-    ``ended`` is set if nothing listens at the server's address any more.
-    """
-
-    def __init__(self, detail: str, ended: bool) -> None:
-        super().__init__(detail)
-        self.ended = ended
+    """No byte of a command has reached the server."""
 
 
 class CommandLostError(Exception):
@@ -521,7 +513,11 @@
 
 
 def _connection_refused(error: Exception) -> bool:
-    """Return whether a connection was refused: the server has ended."""
+    """Return whether nothing listened at the server's address.
+
+    This is no reason to believe that the server has ended: it may hold its
+    keys and listen again.
+    """
     return isinstance(error.__cause__, ConnectionRefusedError)
 
 
--- a/packages/bronzepaddle-backend/src/bronzepaddle_backend/server_tracker.py
+++ b/packages/bronzepaddle-backend/src/bronzepaddle_backend/server_tracker.py
@@ -73,7 +73,8 @@
     """The tracked state of the server; not thread-safe.
 
     ``interval_s`` is the interval between announcements.  ``unreachable`` is
-    set by the user of the tracker when the server refuses connections.
+    set by the user of the tracker when the server refuses connections; it
+    gets no new requests then, but may still hold its keys.
     """
 
     def __init__(self, interval_s: float) -> None:
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/issued_grants.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/issued_grants.py
@@ -1,9 +1,12 @@
-"""Tracks the grants that were sent to the current run of a backend server.
+"""Tracks the grants that were sent to the backend server on the same VM.
 
 A grant that was sent may be in effect whether or not its response arrived and
-whether or not this process still uses the keys.  So each one has to be
-released once its keys are reassigned.  ``reconciler`` gets the grants to
-release from here and records each ``ReleasedGrant`` in the ownership object.
+whether or not this process still uses the keys.  So each one has to end once
+its keys are reassigned.  Only two things show that it has: the server's
+response to its release, or the end of its time.  A refused connection, a
+silence or another run show nothing about what a server holds.  ``reconciler``
+gets the grants to release from here and records each ``ReleasedGrant`` in the
+ownership object.
 """
 
 import dataclasses
@@ -21,7 +24,7 @@
     """What shows that a grant is over."""
 
     RELEASED = "released"
-    REFUSED = "refused"
+    EXPIRED = "expired"
     NEW_RUN = "new-run"
 
 
@@ -66,26 +69,36 @@
         return ownership
 
 
+@dataclasses.dataclass(frozen=True)
+class EndingGrant:
+    """A grant that is not renewed any more, but may still be in effect.
+
+    ``held_until`` is the time until which it may be.
+    """
+
+    grant: IssuedGrant
+    held_until: float
+
+
 class IssuedGrants:
-    """The grants sent to one server run; for the event loop only.
+    """The grants sent to a backend server; for the event loop only.
 
-    ``held_until`` maps each of them to the time until which it may be in
-    effect at the server.
+    ``held_until`` maps each grant to the server's current run to the time
+    until which it may be in effect.  ``ending`` are the replaced grants.
     """
 
     def __init__(self) -> None:
         self.run = statuses.NO_SERVER_RUN
         self.held_until: dict[IssuedGrant, float] = {}
+        self.ending: list[EndingGrant] = []
 
     def add(self, key_range: key_ranges.Range, held_until: float) -> None:
         """Record a grant; it replaces grants of parts of its range."""
         grant = (key_range.first, key_range.last, key_range.token)
         replaced = [
-            (first, last, token)
-            for first, last, token in self.held_until
-            if token == key_range.token
-            and first <= key_range.last
-            and key_range.first <= last
+            earlier
+            for earlier in self.held_until
+            if _same_keys(earlier, grant)
         ]
         until = max(held_until, *map(self.held_until.pop, replaced), 0.0)
         self.held_until[grant] = until
@@ -104,18 +117,64 @@
 
     def pop_replaced(
         self, ownership: key_ranges.Ownership
-    ) -> dict[IssuedGrant, float]:
-        """Remove and return the grants that an ownership has replaced."""
+    ) -> list[IssuedGrant]:
+        """Return the grants that an ownership has replaced; they are ending.
+
+        Each of them is returned only once.
+        """
         kept: dict[IssuedGrant, float] = {}
-        replaced: dict[IssuedGrant, float] = {}
+        replaced: list[EndingGrant] = []
         for grant, until in self.held_until.items():
             issued_first, issued_last, token = grant
             for key_range in ownership.ranges:
                 shared = key_ranges.overlap(
                     issued_first, issued_last, key_range.first, key_range.last
                 )
-                if shared is not None:
-                    target = kept if key_range.token == token else replaced
-                    target[(*shared, token)] = until
+                if shared is None:
+                    continue
+                part = (*shared, token)
+                if key_range.token == token:
+                    kept[part] = until
+                else:
+                    replaced.append(EndingGrant(part, until))
         self.held_until = kept
-        return replaced
+        self.ending += replaced
+        return [ending.grant for ending in replaced]
+
+    def is_ending(self, grant: IssuedGrant) -> bool:
+        """Return whether a replaced grant may still be in effect."""
+        return any(ending.grant == grant for ending in self.ending)
+
+    def confirm_release(self, grant: IssuedGrant) -> float:
+        """Remove a grant that the server has released.
+
+        Returns the time until which it might have been in effect.
+        """
+        until = max(
+            (end.held_until for end in self.ending if end.grant == grant),
+            default=float("-inf"),
+        )
+        self.ending = [end for end in self.ending if end.grant != grant]
+        return until
+
+    def pop_expired(self, now: float) -> list[IssuedGrant]:
+        """Remove and return the replaced grants whose time is over.
+
+        Leaves out those whose keys were granted again with the same token.
+        """
+        expired = [end.grant for end in self.ending if end.held_until <= now]
+        self.ending = [end for end in self.ending if end.held_until > now]
+        in_effect = [*self.held_until, *(end.grant for end in self.ending)]
+        return [
+            grant
+            for grant in expired
+            if not any(_same_keys(grant, other) for other in in_effect)
+        ]
+
+
+def _same_keys(one: IssuedGrant, other: IssuedGrant) -> bool:
+    """Return whether two grants share keys under the same token."""
+    return (
+        one[2] == other[2]
+        and key_ranges.overlap(*one[:2], *other[:2]) is not None
+    )
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
@@ -337,8 +337,8 @@
     ) -> None:
         """Release the slot once the worker thread is done.
 
-        Reports the outcome to the crash detector, and the end of the server
-        if it no longer accepts connections.
+        Reports the outcome to the crash detector, and that the server refuses
+        connections, if it does.
         """
         now = self.clock.now()
         response = None if future.cancelled() else future.result()
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/reconciler.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/reconciler.py
@@ -57,6 +57,9 @@
 MIN_HOLD_S: typing.Final = 0.1
 """Minimum duration of a grant; a shorter one is not worth a command."""
 
+RELEASE_RETRY_S: typing.Final = 0.5
+"""Pause before a release that the server didn't answer is sent again."""
+
 RENEW_BELOW_SHARE: typing.Final = 0.45
 """A grant is renewed once its remaining time is less than this share of the
 lease time."""
@@ -449,11 +452,7 @@
         own_ranges = self._apply(ownership, run)
         if not self._takes_grants_by_report():
             await self._grant_all(own_ranges)
-        elif self.tracker.unreachable:
-            # Nothing listens there: the run has ended and holds no keys.
-            for grant, until in self.reported_grants.pop_pending().items():
-                self._log_end(grant, until, issued_grants.Evidence.REFUSED)
-                self._record_released(grant, "")
+        self._record_expired()
         await self._write_releases()
 
     def _apply(
@@ -465,8 +464,10 @@
         """
         # A run that has ended holds no keys any more.
         for ended, until in self.issued_grants.set_run(run).items():
-            self._log_end(ended, until, issued_grants.Evidence.NEW_RUN)
-            self._record_released(ended, "")
+            if self.clock.now() >= self.uncertain_until:
+                self._record_released(
+                    ended, "", issued_grants.Evidence.NEW_RUN, until
+                )
         if self.reported_grants.run != run:
             self.reported_grants = reported_grants.ReportedGrants(run)
         own_ranges = [
@@ -509,8 +510,8 @@
         hold_s = self.lease.grant_duration_s(now, self.settings.max_hold_s)
         own_ranges = [] if ownership is None else self._apply(ownership, run)
         for release in self.reported_grants.record(report, now):
-            self._record_released(release.grant, release.handover)
             logs.keys_released(*release.grant, "reported")
+            self._confirm_release(release.grant, release.handover)
         if ownership is None or hold_s < MIN_HOLD_S:
             return None
         free = [
@@ -589,72 +590,106 @@
         if kept != held_before:
             self.held.set(kept)
             self.on_held_changed()
-        replaced = self.issued_grants.pop_replaced(ownership)
-        for grant, held_until in replaced.items():
+        for grant in self.issued_grants.pop_replaced(ownership):
             if self._takes_grants_by_report():
                 until = self.clock.now() + self.settings.times.wait_s
                 self.reported_grants.await_release(grant, until)
             elif grant not in self.releasing:
                 self.releasing.add(grant)
-                self.background_tasks.start(
-                    self._release(grant, held_until), "release"
-                )
+                self.background_tasks.start(self._release(grant), "release")
 
-    def _log_end(
-        self,
-        grant: issued_grants.IssuedGrant,
-        held_until: float,
-        evidence: issued_grants.Evidence,
-    ) -> None:
-        """Log why a grant counts as over."""
-        left_s = max(0.0, held_until - self.clock.now())
-        logs.grant_ended(*grant, evidence.value, left_s)
-
-    def _record_released(
+    def _confirm_release(
         self, grant: issued_grants.IssuedGrant, handover: str
     ) -> None:
-        """Let the next write mark an earlier grant as released.
+        """Record a release that the server has confirmed.
 
-        ``handover`` is the data that the server passes to the next holder.
-        Does nothing while a grant of unknown outcome may still take effect.
+        ``handover`` is the data that it passes to the next holder.  While a
+        grant of unknown outcome may still take effect after the release, only
+        the end of its time shows that the grant is over.
         """
         if self.clock.now() < self.uncertain_until:
             return
+        held_until = self.issued_grants.confirm_release(grant)
+        self._record_released(
+            grant, handover, issued_grants.Evidence.RELEASED, held_until
+        )
+
+    def _record_released(
+        self,
+        grant: issued_grants.IssuedGrant,
+        handover: str,
+        evidence: issued_grants.Evidence,
+        held_until: float,
+    ) -> None:
+        """Let the next write mark an earlier grant as released."""
+        now = self.clock.now()
         first, last, token = grant
-        until = self.clock.now() + self.settings.times.wait_s
+        logs.grant_ended(
+            first, last, token, evidence.value, max(0.0, held_until - now)
+        )
+        until = now + self.settings.times.wait_s
         self.released_grants.append(
             issued_grants.ReleasedGrant(first, last, token, handover, until)
         )
         self.wakeup.set()
 
-    async def _release(
-        self, grant: issued_grants.IssuedGrant, held_until: float
-    ) -> None:
-        """Tell the server to release keys, and record it once it has."""
+    def _record_expired(self) -> None:
+        """Let the next write mark the grants whose time is over as released.
+
+        Not while a grant of unknown outcome may still take effect.
+        """
+        now = self.clock.now()
+        if now < self.uncertain_until:
+            return
+        for grant in self.issued_grants.pop_expired(now):
+            self._record_released(
+                grant, "", issued_grants.Evidence.EXPIRED, now
+            )
+
+    async def _release(self, grant: issued_grants.IssuedGrant) -> None:
+        """Tell the server to release keys until it answers.
+
+        Gives up once the time of the grant is over, the server has another
+        run, or its keys are assigned to this member again.
+        """
+        run = self.held.run
+        try:
+            while (
+                self.issued_grants.is_ending(grant)
+                and self.held.run == run
+                and not self._owns_any(grant)
+                and not await self._try_release(grant)
+            ):
+                await self.clock.sleep(RELEASE_RETRY_S)
+        finally:
+            self.releasing.discard(grant)
+
+    def _owns_any(self, grant: issued_grants.IssuedGrant) -> bool:
+        """Return whether any key of a grant is assigned to this member."""
+        first, last, _ = grant
+        return any(
+            key_ranges.overlap(first, last, own.first, own.last) is not None
+            for own in self.own_ranges
+        )
+
+    async def _try_release(self, grant: issued_grants.IssuedGrant) -> bool:
+        """Tell the server to release keys; return whether it has."""
+        commands = self.get_commands()
+        if commands is None:
+            return False
         first, last, token = grant
         try:
-            commands = self.get_commands()
-            if commands is None:
-                return
             outcome = await commands.release(first, last, token)
-            logs.keys_released(first, last, token, outcome.detail)
-            if outcome.done:
-                self._log_end(
-                    grant, held_until, issued_grants.Evidence.RELEASED
-                )
-                self._record_released(grant, outcome.handover)
-        except connections.CommandNotSentError as error:
-            logs.order_failed("release", first, last, repr(error))
-            if error.ended:
-                self._log_end(
-                    grant, held_until, issued_grants.Evidence.REFUSED
-                )
-                # Nothing listens there: the run has ended and holds no keys.
-                self._record_released(grant, "")
-        except connections.CommandLostError as error:
+        except (
+            connections.CommandNotSentError,
+            connections.CommandLostError,
+        ) as error:
             logs.order_failed("release", first, last, repr(error))
-        finally:
-            self.releasing.discard(grant)
+            return False
+        logs.keys_released(first, last, token, outcome.detail)
+        if outcome.done:
+            self._confirm_release(grant, outcome.handover)
+        return outcome.done
 
     async def _grant_if_due(
         self,
@@ -702,24 +737,28 @@
         )
         sent_at = self.clock.now()
         longest_hold_s = hold_s * (1 + self.settings.times.drift)
+        held_until_before = dict(self.issued_grants.held_until)
         self.issued_grants.add(key_range, sent_at + longest_hold_s)
         try:
             outcome = await commands.grant(grant)
         except connections.CommandNotSentError as error:
+            self.issued_grants.held_until = held_until_before
             logs.order_failed(
                 "grant", key_range.first, key_range.last, repr(error)
             )
             return
         except connections.CommandLostError as error:
-            self.uncertain_until = max(
-                self.uncertain_until,
-                sent_at + hold_s * (1 + self.settings.times.drift),
-            )
+            # It has arrived by now, or never will.
+            held_until = self.clock.now() + longest_hold_s
+            self.issued_grants.add(key_range, held_until)
+            self.uncertain_until = max(self.uncertain_until, held_until)
             logs.order_failed(
                 "grant", key_range.first, key_range.last, repr(error)
             )
             return
-        self._log_if_late(key_range, self.clock.now() + longest_hold_s)
+        held_until = self.clock.now() + longest_hold_s
+        self.issued_grants.add(key_range, held_until)
+        self._log_if_late(key_range, held_until)
         if not outcome.done:
             logs.order_failed(
                 "grant", key_range.first, key_range.last, outcome.detail
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/reported_grants.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/reported_grants.py
@@ -46,11 +46,6 @@
         """Expect the release of a grant that orders no longer contain."""
         self.pending[grant] = until
 
-    def pop_pending(self) -> dict[issued_grants.IssuedGrant, float]:
-        """Remove and return the grants to be released: the run has ended."""
-        pending, self.pending = self.pending, {}
-        return pending
-
     def record(
         self, report: key_reports.KeyReport, now: float
     ) -> list[ReportedRelease]:
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -435,10 +435,10 @@
         self.broadcaster.broadcast_soon()
 
     def _on_server_lost(self) -> None:
-        """Log that the backend server has ended, and broadcast a status."""
+        """Log that the server refuses connections, and broadcast a status."""
         latest = self.tracker.latest
         logs.server(
-            "ended",
+            "unreachable",
             "" if latest is None else latest.announcement.run,
             "refused",
         )
--- a/tests/support/fake_servers.py
+++ b/tests/support/fake_servers.py
@@ -258,10 +258,7 @@
         return key_grants.CommandResult(True, "handover", "")
 
     async def _connect(self) -> None:
-        """Reach the server; raises ``CommandNotSentError`` if it refuses.
-
-        The error says so by its second argument, ``ended``.
-        """
+        """Reach the server; raises ``CommandNotSentError`` if it refuses."""
         await asyncio.sleep(0.0005)
         if not (self.server.up and self.server.listening):
-            raise connections.CommandNotSentError("refused", True)
+            raise connections.CommandNotSentError("refused")
--- a/tests/test_issued_grants.py
+++ b/tests/test_issued_grants.py
@@ -31,8 +31,8 @@
     issued = all_granted(test_key_ranges.all_keys_owned_by(A))
     ((_, _, token),) = issued.held_until
     ownership = after_moves(key_ranges.Move(100, 199, B))
-    assert issued.pop_replaced(ownership) == {(100, 199, token): UNTIL}
-    assert issued.pop_replaced(ownership) == {}
+    assert issued.pop_replaced(ownership) == [(100, 199, token)]
+    assert issued.pop_replaced(ownership) == []
     assert issued.held_until == {
         (0, 99, token): UNTIL,
         (200, key_ranges.LAST_KEY, token): UNTIL,
