Let the grants to an earlier run of the server last until their time is over

Cause: another run counted as the end of the recorded one, and after 2.8 s of silence the report of a run that started earlier is enough to replace it. All grants of the live server were then recorded as released, and the planner had just given its keys away.

Change: the grants to an earlier run last until their time is over, for the next owner and for the new run alike. A release that was recorded for a grant is dropped if the same grant is made again. A run that started earlier replaces the recorded one after a long silence only, no longer at once when the server refuses connections.

--- a/packages/bronzepaddle-backend/src/bronzepaddle_backend/server_tracker.py
+++ b/packages/bronzepaddle-backend/src/bronzepaddle_backend/server_tracker.py
@@ -113,8 +113,9 @@
         """Return whether an announcement supersedes the recorded one.
 
         A run with an earlier start time may have started after the clock was
-        set back, but supersedes the recorded run only once that is absent:
-        until then, its announcement is treated as a delayed one.
+        set back, but supersedes the recorded run only once that has been
+        silent for long: until then, its announcement is treated as a delayed
+        one.  Even then it does not show that the recorded run holds no keys.
         """
         previous = recorded.announcement
         if announcement.run == previous.run:
@@ -124,7 +125,7 @@
             )
         return (
             announcement.started_ms > previous.started_ms
-            or not self.present(now)
+            or self._is_silent(recorded, now)
         )
 
     def record_leaving(self, server_id: str, now: float) -> bool:
@@ -151,10 +152,12 @@
         recorded = self.latest
         if recorded is None or self.unreachable:
             return False
-        return (
-            now - recorded.received_at
-            < ABSENT_AFTER_INTERVALS * self.interval_s
-        )
+        return not self._is_silent(recorded, now)
+
+    def _is_silent(self, recorded: RunState, now: float) -> bool:
+        """Return whether announcements of a run have been missing for long."""
+        silent_s = now - recorded.received_at
+        return silent_s >= ABSENT_AFTER_INTERVALS * self.interval_s
 
     def ready(self, now: float) -> bool:
         """Return whether the server accepts new requests."""
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/issued_grants.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/issued_grants.py
@@ -25,7 +25,6 @@
 
     RELEASED = "released"
     EXPIRED = "expired"
-    NEW_RUN = "new-run"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -73,10 +72,12 @@
 class EndingGrant:
     """A grant that is not renewed any more, but may still be in effect.
 
-    ``held_until`` is the time until which it may be.
+    ``run`` is the run of the server that it was sent to, ``held_until`` the
+    time until which it may be in effect.
     """
 
     grant: IssuedGrant
+    run: str
     held_until: float
 
 
@@ -84,7 +85,8 @@
     """The grants sent to a backend server; for the event loop only.
 
     ``held_until`` maps each grant to the server's current run to the time
-    until which it may be in effect.  ``ending`` are the replaced grants.
+    until which it may be in effect.  ``ending`` are the replaced grants and
+    those to earlier runs.
     """
 
     def __init__(self) -> None:
@@ -103,17 +105,33 @@
         until = max(held_until, *map(self.held_until.pop, replaced), 0.0)
         self.held_until[grant] = until
 
-    def set_run(self, run: str) -> dict[IssuedGrant, float]:
-        """Set the run of the server.
+    def set_run(self, run: str) -> None:
+        """Set the run of the server; the grants to the last one are ending.
 
-        A new run holds no keys, so the grants of the last one are removed and
-        returned.
+        An announcement of another run may be a delayed one, so that the last
+        run may still hold its keys.
         """
         if run == self.run:
-            return {}
-        ended_grants, self.held_until = self.held_until, {}
+            return
+        self.ending += [
+            EndingGrant(grant, self.run, until)
+            for grant, until in self.held_until.items()
+        ]
+        self.held_until = {}
         self.run = run
-        return ended_grants
+
+    def held_by_earlier_run(
+        self, key_range: key_ranges.Range, now: float
+    ) -> bool:
+        """Return whether an earlier run may hold a key of a range."""
+        return any(
+            ending.run != self.run
+            and now < ending.held_until
+            and key_ranges.overlap(
+                *ending.grant[:2], key_range.first, key_range.last
+            )
+            for ending in self.ending
+        )
 
     def pop_replaced(
         self, ownership: key_ranges.Ownership
@@ -136,7 +154,7 @@
                 if key_range.token == token:
                     kept[part] = until
                 else:
-                    replaced.append(EndingGrant(part, until))
+                    replaced.append(EndingGrant(part, self.run, until))
         self.held_until = kept
         self.ending += replaced
         return [ending.grant for ending in replaced]
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/reconciler.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/reconciler.py
@@ -462,12 +462,7 @@
 
         Returns the ranges that it assigns to this run of the server.
         """
-        # A run that has ended holds no keys any more.
-        for ended, until in self.issued_grants.set_run(run).items():
-            if self.clock.now() >= self.uncertain_until:
-                self._record_released(
-                    ended, "", issued_grants.Evidence.NEW_RUN, until
-                )
+        self.issued_grants.set_run(run)
         if self.reported_grants.run != run:
             self.reported_grants = reported_grants.ReportedGrants(run)
         own_ranges = [
@@ -545,7 +540,7 @@
         }
         usable = []
         for key_range in ordered:
-            self.issued_grants.add(
+            self._record_issued(
                 key_range, until + order_s * self.settings.times.drift
             )
             grant = (key_range.first, key_range.last, key_range.token)
@@ -717,7 +712,12 @@
         await self._grant(key_range, hold_s)
 
     def _is_free(self, key_range: key_ranges.Range, now: float) -> bool:
-        """Return whether no earlier holder can serve an own range any more."""
+        """Return whether no earlier holder can serve an own range any more.
+
+        An earlier run of this member's server counts as one too.
+        """
+        if self.issued_grants.held_by_earlier_run(key_range, now):
+            return False
         first_seen_at = self.first_seen_at.get(key_range.token, now)
         wait_ends_at = first_seen_at + self.settings.times.wait_s
         return key_range.released or now >= wait_ends_at
@@ -750,14 +750,14 @@
         except connections.CommandLostError as error:
             # It has arrived by now, or never will.
             held_until = self.clock.now() + longest_hold_s
-            self.issued_grants.add(key_range, held_until)
+            self._record_issued(key_range, held_until)
             self.uncertain_until = max(self.uncertain_until, held_until)
             logs.order_failed(
                 "grant", key_range.first, key_range.last, repr(error)
             )
             return
         held_until = self.clock.now() + longest_hold_s
-        self.issued_grants.add(key_range, held_until)
+        self._record_issued(key_range, held_until)
         self._log_if_late(key_range, held_until)
         if not outcome.done:
             logs.order_failed(
@@ -768,6 +768,24 @@
         if run == self.held.run and self._still_owned(key_range):
             self._record_grant(key_range, sent_at + hold_s)
 
+    def _record_issued(
+        self, key_range: key_ranges.Range, held_until: float
+    ) -> None:
+        """Record a grant that the server may hold until ``held_until``.
+
+        An earlier release of the same grant doesn't count any more.
+        """
+        self.issued_grants.add(key_range, held_until)
+        self.released_grants = [
+            released
+            for released in self.released_grants
+            if released.token != key_range.token
+            or key_ranges.overlap(
+                released.first, released.last, key_range.first, key_range.last
+            )
+            is None
+        ]
+
     def _log_if_late(
         self, key_range: key_ranges.Range, held_until: float
     ) -> None:
--- a/packages/bronzepaddle/src/bronzepaddle/key_ranges.py
+++ b/packages/bronzepaddle/src/bronzepaddle/key_ranges.py
@@ -239,8 +239,8 @@
 ) -> Ownership | None:
     """Return the ownership with a member's keys granted to its new run.
 
-    The member must know that its previous run has ended.  Keys that earlier
-    holders have not released yet stay unreleased.
+    The member grants them only once its previous run can't hold them any more.
+    Keys that earlier holders have not released yet stay unreleased.
     """
     token = ownership.next_token
     ranges = tuple(
--- a/tests/test_server_tracker.py
+++ b/tests/test_server_tracker.py
@@ -73,6 +73,13 @@
     assert tracker.ready(absent_at)
 
 
+def test_run_started_earlier_does_not_replace_one_that_refuses() -> None:
+    """A server that refuses connections for a moment goes on announcing."""
+    tracker = tracker_after(NEXT_SERVER)
+    tracker.unreachable = True
+    assert not tracker.record(FIRST_SERVER, INTERVAL_S)
+
+
 def test_later_announcements_of_a_leaving_run_are_ignored() -> None:
     tracker = tracker_after(FIRST_SERVER)
     assert tracker.record_leaving("i-1", 1.0)
