--- a/bench/owner_soak.py
+++ b/bench/owner_soak.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import pathlib
+import signal
 import sys
 import tempfile
 import typing
@@ -63,6 +64,8 @@
     keep_logs: pathlib.Path | None,
 ) -> None:
     """Run the soak with some seeds; exit with 1 if one found something."""
+    # The processes are ended before the exit.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     failed = 0
     for number in range(seed, seed + seeds):
         with tempfile.TemporaryDirectory() as temporary:
--- a/tests/support/soak_rig.py
+++ b/tests/support/soak_rig.py
@@ -10,6 +10,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import itertools
 import logging
 import pathlib
 import random
@@ -147,6 +148,7 @@
         ]
         self.tasks: set[asyncio.Task[None]] = set()
         self.failures: list[str] = []
+        self.request_numbers = itertools.count(1)
         self.responses: collections.Counter[int] = collections.Counter()
         self.record = (folder / "record.txt").open("w", encoding="utf-8")
 
@@ -336,7 +338,6 @@
     async def _send_requests(self, vm: Vm) -> None:
         """Send requests one by one on a connection that stays open."""
         interval_s = len(self.vms) * CALLERS_PER_VM / REQUESTS_PER_S
-        number = 0
         while True:
             try:
                 host, _, port = vm.callers.partition(":")
@@ -348,8 +349,7 @@
             with contextlib.closing(writer):
                 is_open = True
                 while is_open:
-                    number += 1
-                    is_open = await self._send(vm, number, reader, writer)
+                    is_open = await self._send(vm, reader, writer)
                     await asyncio.sleep(
                         self.randomness.uniform(0.0, 2.0) * interval_s
                     )
@@ -357,29 +357,29 @@
     async def _send(
         self,
         vm: Vm,
-        number: int,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
         """Send a request; return whether its connection stays open."""
         is_hot = self.randomness.random() < HOT_SHARE
         keys = HOT_KEYS if is_hot else range(route_table.KEY_COUNT)
+        request_id = f"{vm.name}-{next(self.request_numbers):06d}"
         headers = {
             "Host": HOST,
-            header_names.REQUEST_ID: f"{vm.name}-{number:06d}",
+            header_names.REQUEST_ID: request_id,
             header_names.DEADLINE_MS: str(DEADLINE_MS),
             header_names.SHARD_KEY: str(self.randomness.choice(keys)),
         }
         writer.write(
             small_http.encode(
-                f"GET /{KEYED_SERVICE}/x HTTP/1.1", headers=headers
+                f"GET /{KEYED_SERVICE}/{request_id} HTTP/1.1", headers=headers
             )
         )
         try:
             async with asyncio.timeout(DEADLINE_MS / 1000 + 1.0):
                 message = await small_http.read_message(reader)
         except (OSError, asyncio.IncompleteReadError) as error:
-            logger.debug("%s: request %d: %r", vm.name, number, error)
+            logger.debug("%s: %r", request_id, error)
             message = None
         self.responses[0 if message is None else message.status] += 1
         return (
