--- a/tests/support/key_holding_servers.py
+++ b/tests/support/key_holding_servers.py
@@ -11,7 +11,6 @@
 import enum
 import itertools
 import json
-import logging
 import random
 import typing
 
@@ -35,8 +34,6 @@
 
 HEALTH_PATH: typing.Final = "/health"
 
-logger = logging.getLogger(__name__)
-
 
 class Clock:
     """Seconds since the start of a rig, and how late its loop has run."""
@@ -75,7 +72,7 @@
     IN_SERVER = "in the server"
 
 
-@dataclasses.dataclass
+@dataclasses.dataclass(frozen=True)
 class CommandFaults:
     """Faults of the commands to a server; None or empty if there is none.
 
@@ -88,6 +85,9 @@
     lost: small_http.NoResponse | None = None
 
 
+NO_FAULTS: typing.Final = CommandFaults()
+
+
 @dataclasses.dataclass
 class HeldRange:
     """Keys that a run holds until ``until``, by its own clock."""
@@ -192,11 +192,10 @@
         self.clock = clock
         self.randomness = randomness
         self.listener = small_http.Listener(address, self._handle)
-        self.faults = CommandFaults()
+        self.faults = NO_FAULTS
         self.resumed_at = float("-inf")
         self.current: ServerRun | None = None
         self.starts = 0
-        self.executed = 0
         self.uncounted_grants = 0
 
     async def start(self, born_ms: int, same_id: bool = False) -> ServerRun:
@@ -318,7 +317,6 @@
         """Work for a while; return False if the hold ended before."""
         now = self.clock.now()
         work = self.history.begin(run.run, key, now) if self.keyed else None
-        self.executed += 1
         ends_at = now + self.randomness.choice(WORK_S)
         run.executing.append(key)
         # A hold may be renewed while the request runs.
--- a/tests/support/server_reports.py
+++ b/tests/support/server_reports.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import collections.abc
+import itertools
 import json
 import logging
 import typing
@@ -19,14 +21,9 @@
 EARLIER_RUN_SEQUENCE: typing.Final = 1000
 REPORT_PATH: typing.Final = "/api/instances/"
 
-logger = logging.getLogger(__name__)
-
 
 class Reporter:
-    """Reports the current run of a server at the interval.
-
-    Reports that are made before ``held_up_until`` are sent then.
-    """
+    """Reports each run of a server at the interval, from its start."""
 
     def __init__(
         self,
@@ -40,14 +37,36 @@
         self.zone = zone
         self.control_address = control_address
         self.held_up_until = float("-inf")
-        self.acknowledged = 0
+        self.earlier_sequence = itertools.count(EARLIER_RUN_SEQUENCE)
         self.tasks: set[asyncio.Task[None]] = set()
 
-    async def report(self, run: key_holding_servers.ServerRun) -> None:
-        """Report a run from its start until it has ended."""
+    def start(self, run: key_holding_servers.ServerRun) -> None:
+        """Report a run until it has ended."""
+        self._in_background(self._report(run))
+
+    def hold_up_until(self, ends_at: float) -> None:
+        """Deliver all reports that are made before a time at that time."""
+        self.held_up_until = max(self.held_up_until, ends_at)
+
+    def report_earlier_run(self, address: str | None) -> None:
+        """Send a report of a run that started before the current one.
+
+        ``address`` is that of the current run if it is None.
+        """
+        run = self.server.current
+        if run is not None:
+            document = self._document(
+                run.born_ms - EARLIER_BY_MS,
+                next(self.earlier_sequence),
+                address,
+            )
+            earlier_id = f"{run.server_id}-earlier"
+            self._in_background(self._send(earlier_id, document))
+
+    async def _report(self, run: key_holding_servers.ServerRun) -> None:
         while run.up:
             document = self._document(run.born_ms, next(run.sequence))
-            self._send_in_background(run.server_id, document)
+            self._in_background(self._send_late(run.server_id, document))
             await asyncio.sleep(INTERVAL_S)
 
     def _document(
@@ -72,47 +91,25 @@
         }
         return json.dumps(report).encode()
 
-    def report_earlier_run(
-        self, number: int, address: str | None = None
-    ) -> None:
-        """Send a report of a run that started before the current one."""
-        run = self.server.current
-        if run is not None:
-            document = self._document(
-                run.born_ms - EARLIER_BY_MS,
-                EARLIER_RUN_SEQUENCE + number,
-                address,
-            )
-            self._send_in_background(
-                f"{run.server_id}-earlier", document, may_be_held_up=False
+    async def _send_late(self, server_id: str, document: bytes) -> None:
+        """Send a report once reports are not held up."""
+        clock = self.server.clock
+        while (wait_s := self.held_up_until - clock.now()) > 0:
+            await asyncio.sleep(wait_s)
+        await self._send(server_id, document)
+
+    async def _send(self, server_id: str, document: bytes) -> None:
+        path = REPORT_PATH + server_id
+        try:
+            await small_http.call(
+                self.control_address, "PUT", path, document, RESPONSE_TIMEOUT_S
             )
+        except (OSError, EOFError) as error:
+            logging.debug("report of %s not received: %r", server_id, error)
 
-    def _send_in_background(
-        self, server_id: str, document: bytes, may_be_held_up: bool = True
+    def _in_background(
+        self, work: collections.abc.Coroutine[typing.Any, typing.Any, None]
     ) -> None:
-        task = asyncio.get_running_loop().create_task(
-            self._send(server_id, document, may_be_held_up)
-        )
+        task = asyncio.get_running_loop().create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
-
-    async def _send(
-        self, server_id: str, document: bytes, may_be_held_up: bool
-    ) -> None:
-        while may_be_held_up:
-            wait_s = self.held_up_until - self.server.clock.now()
-            if wait_s <= 0:
-                break
-            await asyncio.sleep(wait_s)
-        try:
-            status = await small_http.call(
-                self.control_address,
-                "PUT",
-                REPORT_PATH + server_id,
-                document,
-                RESPONSE_TIMEOUT_S,
-            )
-        except (OSError, EOFError) as error:
-            logger.debug("report of %s not received: %r", server_id, error)
-            return
-        self.acknowledged += status == 200
--- a/tests/support/small_http.py
+++ b/tests/support/small_http.py
@@ -9,8 +9,6 @@
 
 MAX_LINE_BYTES: typing.Final = 2**20
 
-logger = logging.getLogger(__name__)
-
 
 class NoResponse(enum.Enum):
     """What happens to a connection on which a request gets no response."""
@@ -111,10 +109,7 @@
 
 
 class Listener:
-    """A port at which requests are handled; it can be closed and reopened.
-
-    ``connections`` maps the writer of each open connection to its task.
-    """
+    """A port at which requests are handled; it can be closed and reopened."""
 
     def __init__(self, address: str, handle: Handle) -> None:
         self.address = address
@@ -148,7 +143,7 @@
         try:
             await self._serve(reader, writer)
         except (OSError, asyncio.IncompleteReadError) as error:
-            logger.debug("%s: connection ended: %r", self.address, error)
+            logging.debug("%s: connection ended: %r", self.address, error)
         finally:
             self.connections.discard(writer)
             writer.close()
