Take the delay before the sending off the time of a grant

What callers saw: two servers held the same keys. A process that was paused, or whose command waited for its thread or its connection, wrote a grant with the time that it had determined before. The server counts that time from the arrival, so the hold outlasted the lease by the delay, while the next owner had waited for the lease only.

Cause: `hold_ms` was computed on the event loop. Between that and the writing lie the queue of the one thread for grants, a connect of up to 0.5 s, and any pause of the process.

Now a grant names the time that its duration was determined for, and the adapter computes `hold_ms` when the connection stands, just before it writes. A grant with less than 0.05 s left is not sent: no byte is written, and the connection goes back to the pool. Both times are from the process's own clock, which counts suspended time.

The simulation counted a grant from before its connection; now it counts from the sending, and a frozen process sends nothing.

The tests of `send_command` pass a function in place of bytes, as the signature does now; what they check is unchanged. The scripted server reads a request to the end of its body before it responds.

--- a/packages/bronzepaddle-backend/src/bronzepaddle_backend/connections.py
+++ b/packages/bronzepaddle-backend/src/bronzepaddle_backend/connections.py
@@ -411,10 +411,17 @@
                 )
 
     def send_command(
-        self, path: str, body: bytes, timeout_s: float, reuse: bool = True
+        self,
+        path: str,
+        build_body: collections.abc.Callable[[], bytes],
+        timeout_s: float,
+        reuse: bool = True,
     ) -> tuple[int, urllib3.HTTPHeaderDict]:
         """Send a command by ``POST``; return the status and the headers.
 
+        ``build_body`` is called once the server is connected, just before the
+        command is written.  It may raise ``CommandNotSentError``.
+
         Without ``reuse``, it is sent on a new connection.  Responses to
         commands carry no id, so that one to an earlier command, sent again on
         a kept connection, would be taken for that to this one.
@@ -431,9 +438,14 @@
         except (OSError, urllib3.exceptions.HTTPError) as error:
             ended = _connection_refused(error)
             raise CommandNotSentError(repr(error), ended) from error
+        connection.timeout = timeout_s
+        connection.sock.settimeout(timeout_s)
+        try:
+            body = build_body()
+        except CommandNotSentError:
+            self._make_idle(connection)
+            raise
         try:
-            connection.timeout = timeout_s
-            connection.sock.settimeout(timeout_s)
             connection.request(
                 "POST",
                 path,
--- a/packages/bronzepaddle-backend/src/bronzepaddle_backend/key_grants.py
+++ b/packages/bronzepaddle-backend/src/bronzepaddle_backend/key_grants.py
@@ -13,22 +13,42 @@
 
 from bronzepaddle import ids
 
+from bronzepaddle_backend import connections
+
+MIN_SENT_HOLD_S: typing.Final = 0.05
+"""Shortest remaining time of a grant that is still sent."""
+
 
 @dataclasses.dataclass(frozen=True)
 class KeyGrant:
     """A grant of the keys from ``first`` to ``last``, both included.
 
-    It expires ``hold_s`` seconds after its arrival at the server.
-    ``handover`` is the text that the previous server returned when it released
-    the keys, empty if there is none.
+    It expires ``hold_s`` seconds after ``decided_at``, a time on the clock of
+    this process.  ``handover`` is the text that the previous server returned
+    when it released the keys, empty if there is none.
     """
 
     first: int
     last: int
     token: ids.Token
     hold_s: float
+    decided_at: float
     handover: str
 
+    def remaining_hold_s(self, now: float) -> float:
+        """Return the time for which a command sent now may grant the keys.
+
+        Raises ``connections.CommandNotSentError`` if that is too short.  The
+        server counts this time from the arrival of the command.
+        """
+        remaining_s = self.hold_s - (now - self.decided_at)
+        if remaining_s < MIN_SENT_HOLD_S:
+            raise connections.CommandNotSentError(
+                f"delayed until {remaining_s:.3f} s of the grant are left",
+                ended=False,
+            )
+        return remaining_s
+
 
 class CommandResult(typing.NamedTuple):
     """The result of a command.
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/reconciler.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/reconciler.py
@@ -525,6 +525,7 @@
                 key_range.last,
                 key_range.token,
                 hold_s,
+                now,
                 key_range.handover,
             )
             for key_range in free
@@ -679,7 +680,7 @@
             current is not None and now + hold_s <= current.until
         ):
             return
-        await self._grant(key_range, hold_s)
+        await self._grant(key_range, hold_s, now)
 
     def _is_free(self, key_range: key_ranges.Range, now: float) -> bool:
         """Return whether no earlier holder can serve an own range any more."""
@@ -687,8 +688,13 @@
         wait_ends_at = first_seen_at + self.settings.times.wait_s
         return key_range.released or now >= wait_ends_at
 
-    async def _grant(self, key_range: key_ranges.Range, hold_s: float) -> None:
-        """Grant a range to the server, and record the outcome."""
+    async def _grant(
+        self, key_range: key_ranges.Range, hold_s: float, now: float
+    ) -> None:
+        """Grant a range to the server, and record the outcome.
+
+        ``hold_s`` was determined for the time ``now``.
+        """
         commands = self.get_commands()
         if commands is None:
             return
@@ -698,6 +704,7 @@
             key_range.last,
             key_range.token,
             hold_s,
+            now,
             key_range.handover,
         )
         sent_at = self.clock.now()
--- a/tests/support/broken_reconcilers.py
+++ b/tests/support/broken_reconcilers.py
@@ -10,7 +10,7 @@
 import unittest.mock
 
 from bronzepaddle import ids, key_ranges, store_leases
-from bronzepaddle_backend import key_reports
+from bronzepaddle_backend import key_grants, key_reports
 from bronzepaddle_node import issued_grants, reconciler, reported_grants
 from bronzepaddle_peers import statuses
 
@@ -173,6 +173,19 @@
     ]
 
 
+def _hold_from_sending() -> _Patches:
+    """Grant the keys for the whole time, however late the command is sent."""
+
+    def remaining_hold_s(self: key_grants.KeyGrant, _now: float) -> float:
+        return self.hold_s
+
+    return [
+        unittest.mock.patch.object(
+            key_grants.KeyGrant, "remaining_hold_s", remaining_hold_s
+        )
+    ]
+
+
 VARIANTS: typing.Final[dict[str, collections.abc.Callable[[], _Patches]]] = {
     "no-wait": _no_wait,
     "short-wait": _short_wait,
@@ -182,6 +195,7 @@
     "relayed-from-arrival": _relayed_from_arrival,
     "release-any": _release_any,
     "released-by-restart": _released_by_restart,
+    "hold-from-sending": _hold_from_sending,
 }
 
 
--- a/tests/support/fake_servers.py
+++ b/tests/support/fake_servers.py
@@ -13,7 +13,7 @@
 from bronzepaddle_backend import connections, key_grants, key_reports
 
 if typing.TYPE_CHECKING:
-    from support import simulated_fleet
+    from support import simulated_fleet, simulated_time
 
 SERVER_CLOCK_RATES: typing.Final = (0.98, 0.99, 1.0)
 """Rates of the servers' clocks relative to the loop's time."""
@@ -51,8 +51,10 @@
         self.held: list[AcceptedGrant] = []
         self.accepted: list[AcceptedGrant] = []
 
-    def accept(self, grant: key_grants.KeyGrant, arrived_at: float) -> bool:
-        """Hold the keys of a grant for its duration from ``arrived_at``.
+    def accept(
+        self, grant: key_grants.KeyGrant, hold_s: float, arrived_at: float
+    ) -> bool:
+        """Hold the keys of a grant for ``hold_s`` from ``arrived_at``.
 
         Returns False if the server accepted a higher token for one of the
         keys before.
@@ -64,7 +66,7 @@
         ]
         if any(earlier.token > grant.token for earlier in overlapping):
             return False
-        valid_until = arrived_at + grant.hold_s / self.rate
+        valid_until = arrived_at + hold_s / self.rate
         accepted = AcceptedGrant(
             grant.first, grant.last, grant.token, valid_until
         )
@@ -163,7 +165,7 @@
         for grant in order.grants:
             if int(grant.hold_s * 1000) < 1:
                 self.fleet.violations.append(f"grant for no time: {grant}")
-            self.accept(grant, sent_at)
+            self.accept(grant, grant.hold_s, sent_at)
 
     def _start_release(
         self, held: AcceptedGrant, order: key_reports.HoldOrder
@@ -207,8 +209,11 @@
 class FakeCommands:
     """Implements ``KeyGrantCommands`` for one run of a fake server."""
 
-    def __init__(self, server: FakeServer) -> None:
+    def __init__(
+        self, server: FakeServer, clock: "simulated_time.SimulatedClock"
+    ) -> None:
         self.server = server
+        self.clock = clock
 
     async def grant(
         self, key_grant: key_grants.KeyGrant
@@ -219,27 +224,29 @@
         server is still up by then.
         """
         fleet, server = self.server.fleet, self.server
-        arrived_at = fleet.loop.time()
-        if int(key_grant.hold_s * 1000) < 1:
-            fleet.violations.append(f"grant for less than 1 ms: {key_grant}")
         await self._connect()
+        await self._wait_to_send()
+        hold_s = key_grant.remaining_hold_s(self.clock.now())
+        if int(hold_s * 1000) < 1:
+            fleet.violations.append(f"grant for less than 1 ms: {key_grant}")
+        arrived_at = fleet.loop.time()
         if (
             fleet.commands_late
             and fleet.rng.random() < fleet.late_command_share
         ):
             delay_s = fleet.rng.uniform(*fleet.command_delay_range_s)
             fleet.loop.call_later(
-                delay_s, self._accept_late, key_grant, arrived_at
+                delay_s, self._accept_late, key_grant, hold_s, arrived_at
             )
             raise connections.CommandLostError("no response")
-        accepted = server.accept(key_grant, arrived_at)
+        accepted = server.accept(key_grant, hold_s, arrived_at)
         return key_grants.CommandResult(accepted, "", "")
 
     def _accept_late(
-        self, grant: key_grants.KeyGrant, arrived_at: float
+        self, grant: key_grants.KeyGrant, hold_s: float, arrived_at: float
     ) -> None:
         if self.server.up:
-            self.server.accept(grant, arrived_at)
+            self.server.accept(grant, hold_s, arrived_at)
 
     async def release(
         self, first: int, last: int, token: ids.Token
@@ -257,6 +264,14 @@
         await asyncio.sleep(fleet.rng.uniform(0.0, 0.4))
         return key_grants.CommandResult(True, "handover", "")
 
+    async def _wait_to_send(self) -> None:
+        """Wait while the sending is delayed or the process is frozen."""
+        fleet, name = self.server.fleet, self.server.name
+        fleet.waiting_to_send.add(name)
+        await asyncio.sleep(fleet.send_delays_s.get(name, 0.0))
+        await self.clock.running.wait()
+        fleet.waiting_to_send.discard(name)
+
     async def _connect(self) -> None:
         """Reach the server; raises ``CommandNotSentError`` if it refuses.
 
--- a/tests/support/scripted_server.py
+++ b/tests/support/scripted_server.py
@@ -1,5 +1,6 @@
 """A scripted backend server, and requests to it."""
 
+import re
 import socket
 import threading
 import time
@@ -42,7 +43,7 @@
             connection, _ = self.listener.accept()
             with connection:
                 for response in script:
-                    request = connection.recv(65536)
+                    request = _receive_request(connection)
                     if not request:
                         break
                     self.requests.append(request)
@@ -52,6 +53,20 @@
         self.closed.set()
 
 
+def _receive_request(connection: socket.socket) -> bytes:
+    """Return a request with its body; empty if the client has closed."""
+    request = connection.recv(65536)
+    head, _, body = request.partition(b"\r\n\r\n")
+    length = re.search(rb"(?i)\ncontent-length: *([0-9]+)", head)
+    while length is not None and len(body) < int(length[1]):
+        piece = connection.recv(65536)
+        if not piece:
+            break
+        request += piece
+        body += piece
+    return request
+
+
 def backend_request(**changes: typing.Any) -> connections.BackendRequest:
     fields: dict[str, typing.Any] = {
         "request_id": REQUEST_ID,
--- a/tests/support/simulated_fleet.py
+++ b/tests/support/simulated_fleet.py
@@ -110,7 +110,7 @@
         """Return the commands to the server, None until it is announced."""
         server = self.server
         return (
-            fake_servers.FakeCommands(server)
+            fake_servers.FakeCommands(server, self.clock)
             if server.run == self.held.run
             else None
         )
@@ -279,7 +279,9 @@
     receiver.  While ``commands_late`` is set, a share of
     ``late_command_share`` of the grants takes effect after a delay in seconds
     from ``command_delay_range_s`` and reports a lost command, and some
-    releases report one as well.
+    releases report one as well.  ``send_delays_s`` are the delays by member
+    between the decision on a grant and the sending of its command;
+    ``waiting_to_send`` are the members with such a command.
     """
 
     def __init__(
@@ -300,6 +302,8 @@
         self.commands_late = False
         self.late_command_share = 0.5
         self.command_delay_range_s = (0.5, 6.0)
+        self.send_delays_s: dict[str, float] = {}
+        self.waiting_to_send: set[str] = set()
         self.violations: list[str] = []
         self.last_start_ms = 1000
 
@@ -487,6 +491,7 @@
     fleet.store_server.cut_off.clear()
     fleet.store_server.faults = simulated_cell.StoreFaults()
     fleet.commands_late = False
+    fleet.send_delays_s.clear()
     resume(fleet)
     for name in MEMBERS:
         server = fleet.servers[name]
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -170,7 +170,7 @@
     with pytest.raises(connections.CommandLostError):
         call_with_timeout(
             lambda: scripted_server.connection_pool(server.port).send_command(
-                "/api/grant", b"{}", 0.5
+                "/api/grant", lambda: b"{}", 0.5
             )
         )
     assert server.closed.wait(TIMEOUT_S)
--- a/tests/test_reported_grants.py
+++ b/tests/test_reported_grants.py
@@ -134,6 +134,7 @@
                 100 * number + 98,
                 ids.Token(9),
                 hold_s,
+                0.0,
                 handover,
             )
             for number in range(count)
@@ -156,7 +157,7 @@
 
 def test_adjacent_rows_of_a_grant_are_merged() -> None:
     grants = tuple(
-        key_grants.KeyGrant(first, last, ids.Token(token), 2.5, handover)
+        key_grants.KeyGrant(first, last, ids.Token(token), 2.5, 0.0, handover)
         for first, last, token, handover in (
             (0, 9, 7, ""),
             (10, 19, 7, ""),
--- a/tests/test_response_integrity.py
+++ b/tests/test_response_integrity.py
@@ -189,10 +189,10 @@
     server = scripted_server.ScriptedServer([granted, granted], [b""])
     pool = scripted_server.connection_pool(server.port)
     with contextlib.closing(pool):
-        status, _ = pool.send_command("/api/grant", b"{}", 5.0)
+        status, _ = pool.send_command("/api/grant", lambda: b"{}", 5.0)
         assert status == 200
         with pytest.raises(connections.CommandLostError):
-            pool.send_command("/api/release", b"{}", 5.0, reuse=False)
+            pool.send_command("/api/release", lambda: b"{}", 5.0, reuse=False)
 
 
 def test_release_leaves_idle_connections_open() -> None:
@@ -209,7 +209,7 @@
         (kept,) = pool.idle
         with pytest.raises(connections.CommandLostError):
             # The server serves its second connection after the first one.
-            pool.send_command("/api/release", b"{}", 0.2, reuse=False)
+            pool.send_command("/api/release", lambda: b"{}", 0.2, reuse=False)
         assert pool.idle == [kept]
 
 
@@ -220,7 +220,7 @@
         contextlib.closing(pool),
         pytest.raises(connections.CommandLostError),
     ):
-        pool.send_command("/api/grant", b"{}", 5.0)
+        pool.send_command("/api/grant", lambda: b"{}", 5.0)
 
 
 @hypothesis.seed(1)
--- a/tests/test_store_leases.py
+++ b/tests/test_store_leases.py
@@ -25,6 +25,9 @@
 expired, and the time to read the plan and grant the keys.
 """
 
+SEND_DELAY_S: typing.Final = 4.2
+"""Delay of a command: it arrives before the next owner gets the keys."""
+
 LOSS_TARGET_S: typing.Final = 5.0
 """Required bound on the time until a key is served again after a loss."""
 
@@ -229,6 +232,49 @@
     await fleet.wait_until_served(simulated_fleet.SETTLE_S)
 
 
+async def renewal_is_sent_after_its_keys_were_taken_over(
+    fleet: simulated_fleet.SimulatedFleet,
+) -> None:
+    """Delay the sending of an owner's renewal while it loses its keys.
+
+    The server counts the time of a grant from the arrival of the command, and
+    it must not hold the keys after the lease that the grant was based on.
+    """
+    await simulated_fleet.start_all(fleet)
+    await _delay_next_grant(fleet, "d", SEND_DELAY_S)
+    await simulated_fleet.apply_event(fleet, "isolate", "d")
+    await simulated_fleet.apply_event(fleet, "offline", "d")
+    await asyncio.sleep(9.0)
+    assert "d" not in simulated_fleet.stored_ownership(fleet).members()
+    simulated_fleet.recover(fleet)
+    await fleet.wait_until_served(simulated_fleet.SETTLE_S)
+
+
+async def owner_is_frozen_before_it_sends_a_renewal(
+    fleet: simulated_fleet.SimulatedFleet,
+) -> None:
+    """Freeze an owner between its decision on a grant and the sending."""
+    await simulated_fleet.start_all(fleet)
+    await _delay_next_grant(fleet, "d", 0.1)
+    for action in ("freeze", "isolate", "offline"):
+        await simulated_fleet.apply_event(fleet, action, "d")
+    await asyncio.sleep(SEND_DELAY_S)
+    simulated_fleet.resume(fleet)
+    await asyncio.sleep(9.0)
+    simulated_fleet.recover(fleet)
+    await fleet.wait_until_served(simulated_fleet.SETTLE_S)
+
+
+async def _delay_next_grant(
+    fleet: simulated_fleet.SimulatedFleet, name: str, delay_s: float
+) -> None:
+    """Delay the commands of a member; return when one is delayed."""
+    fleet.send_delays_s[name] = delay_s
+    fleet.waiting_to_send.clear()
+    while name not in fleet.waiting_to_send:
+        await asyncio.sleep(0.005)
+
+
 SCENARIOS: typing.Final = (
     all_restart_while_the_store_is_unreachable,
     all_but_one_are_lost,
@@ -242,6 +288,8 @@
     new_owners_restart_while_the_lost_owner_acts,
     late_grant_of_a_killed_process,
     new_versions_are_read_by_affected_members,
+    renewal_is_sent_after_its_keys_were_taken_over,
+    owner_is_frozen_before_it_sends_a_renewal,
 )
 
 
@@ -271,6 +319,9 @@
     server_that_drains_hands_over,
     # Only a command finds at once that a server has ended.
     server_ends_while_its_grants_are_renewed,
+    # The time of a grant in a response counts from the report.
+    renewal_is_sent_after_its_keys_were_taken_over,
+    owner_is_frozen_before_it_sends_a_renewal,
 )
 
 REPORT_SCENARIOS: typing.Final = (
@@ -307,6 +358,7 @@
     "relayed-from-arrival": (1, delayed_statuses_reach_a_muted_owner),
     "release-any": (15, None),
     "released-by-restart": (1, new_owners_restart_while_the_lost_owner_acts),
+    "hold-from-sending": (1, renewal_is_sent_after_its_keys_were_taken_over),
 }
 """For each broken build, the seed and the scenario that must detect it.
 
