--- a/packages/bronzepaddle-node/src/bronzepaddle_node/reconciler.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/reconciler.py
@@ -521,6 +521,7 @@
                 key_range.last,
                 key_range.token,
                 hold_s,
+                now,
                 key_range.handover,
             )
             for key_range in free
@@ -709,7 +710,7 @@
             current is not None and now + hold_s <= current.until
         ):
             return
-        await self._grant(key_range, hold_s)
+        await self._grant(key_range, hold_s, now)
 
     def _is_free(self, key_range: key_ranges.Range, now: float) -> bool:
         """Return whether no earlier holder can serve an own range any more.
@@ -722,8 +723,13 @@
         wait_ends_at = first_seen_at + self.settings.times.wait_s
         return key_range.released or now >= wait_ends_at
 
-    async def _grant(self, key_range: key_ranges.Range, hold_s: float) -> None:
-        """Grant a range to the server, and record the outcome."""
+    async def _grant(
+        self, key_range: key_ranges.Range, hold_s: float, now: float
+    ) -> None:
+        """Grant a range to the server, and record the outcome.
+
+        ``hold_s`` was determined for the time ``now``.
+        """
         commands = self.get_commands()
         if commands is None:
             return
@@ -733,12 +739,12 @@
             key_range.last,
             key_range.token,
             hold_s,
+            now,
             key_range.handover,
         )
-        sent_at = self.clock.now()
         longest_hold_s = hold_s * (1 + self.settings.times.drift)
         held_until_before = dict(self.issued_grants.held_until)
-        self.issued_grants.add(key_range, sent_at + longest_hold_s)
+        self.issued_grants.add(key_range, now + longest_hold_s)
         try:
             outcome = await commands.grant(grant)
         except connections.CommandNotSentError as error:
@@ -766,7 +772,7 @@
             self.read_soon()
             return
         if run == self.held.run and self._still_owned(key_range):
-            self._record_grant(key_range, sent_at + hold_s)
+            self._record_grant(key_range, now + hold_s)
 
     def _record_issued(
         self, key_range: key_ranges.Range, held_until: float
