--- a/packages/bronzepaddle-backend/src/bronzepaddle_backend/key_grants.py
+++ b/packages/bronzepaddle-backend/src/bronzepaddle_backend/key_grants.py
@@ -44,8 +44,7 @@
         remaining_s = self.hold_s - (now - self.decided_at)
         if remaining_s < MIN_SENT_HOLD_S:
             raise connections.CommandNotSentError(
-                f"delayed until {remaining_s:.3f} s of the grant are left",
-                ended=False,
+                f"delayed until {remaining_s:.3f} s of the grant are left"
             )
         return remaining_s
 
