Grant no range by what a process knew before: reassigned, or of an earlier run

- A round of grants went on with the list from its beginning.
A grant that hung for 3.6 s was followed by one of a range that had been reassigned meanwhile, under a lease that peers had renewed.
Each range is now looked up again, with the server's run, right before its grant is sent.
- A process that starts knows nothing of the grants of its predecessor, yet it granted the keys of an earlier run to the new one at once.
These now wait for one lease from the start of the process.
- A release is confirmed for the run that it was sent to only, and a grant whose time is over ends nothing while another grant of its keys may be in effect.

--- a/packages/bronzepaddle-backend/src/bronzepaddle_backend/connections.py
+++ b/packages/bronzepaddle-backend/src/bronzepaddle_backend/connections.py
@@ -437,14 +437,14 @@
             )
         except (OSError, urllib3.exceptions.HTTPError) as error:
             raise CommandNotSentError(repr(error)) from error
-        connection.timeout = timeout_s
-        connection.sock.settimeout(timeout_s)
         try:
             body = build_body()
         except CommandNotSentError:
             self._make_idle(connection)
             raise
         try:
+            connection.timeout = timeout_s
+            connection.sock.settimeout(timeout_s)
             connection.request(
                 "POST",
                 path,
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/issued_grants.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/issued_grants.py
@@ -100,7 +100,7 @@
         replaced = [
             earlier
             for earlier in self.held_until
-            if _same_keys(earlier, grant)
+            if earlier[2] == key_range.token and _share_keys(earlier, grant)
         ]
         until = max(held_until, *map(self.held_until.pop, replaced), 0.0)
         self.held_until[grant] = until
@@ -159,9 +159,12 @@
         self.ending += replaced
         return [ending.grant for ending in replaced]
 
-    def is_ending(self, grant: IssuedGrant) -> bool:
-        """Return whether a replaced grant may still be in effect."""
-        return any(ending.grant == grant for ending in self.ending)
+    def is_ending(self, grant: IssuedGrant, run: str) -> bool:
+        """Return whether a replaced grant may still be in effect at a run."""
+        return any(
+            (ending.grant, ending.run) == (grant, run)
+            for ending in self.ending
+        )
 
     def confirm_release(self, grant: IssuedGrant) -> float:
         """Remove a grant that the server has released.
@@ -178,7 +181,7 @@
     def pop_expired(self, now: float) -> list[IssuedGrant]:
         """Remove and return the replaced grants whose time is over.
 
-        Leaves out those whose keys were granted again with the same token.
+        Leaves out those of whose keys another grant may be in effect.
         """
         expired = [end.grant for end in self.ending if end.held_until <= now]
         self.ending = [end for end in self.ending if end.held_until > now]
@@ -186,13 +189,10 @@
         return [
             grant
             for grant in expired
-            if not any(_same_keys(grant, other) for other in in_effect)
+            if not any(_share_keys(grant, other) for other in in_effect)
         ]
 
 
-def _same_keys(one: IssuedGrant, other: IssuedGrant) -> bool:
-    """Return whether two grants share keys under the same token."""
-    return (
-        one[2] == other[2]
-        and key_ranges.overlap(*one[:2], *other[:2]) is not None
-    )
+def _share_keys(one: IssuedGrant, other: IssuedGrant) -> bool:
+    """Return whether two grants have keys in common."""
+    return key_ranges.overlap(*one[:2], *other[:2]) is not None
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/reconciler.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/reconciler.py
@@ -149,6 +149,9 @@
         self.affected_at: dict[ids.MemberId, float] = {}
         # Per token of an own range, when this process first saw it.
         self.first_seen_at: dict[ids.Token, float] = {}
+        # The tokens of the ranges that were granted to another run of the
+        # server since the start.
+        self.regrant_tokens: set[ids.Token] = set()
         # Until then a grant whose response did not arrive may still take
         # effect.  An earlier run of this process may have sent such grants.
         self.uncertain_until = self.started_at + settings.times.wait_s
@@ -447,8 +450,13 @@
         ):
             holder = key_ranges.Holder(self.settings.name, run)
             after = key_ranges.regrant_to_new_run(ownership, holder)
+            # Added before the write, which may take effect without a response.
+            self.regrant_tokens.add(ownership.next_token)
             if after is not None and await self._write(after):
                 return
+            if self.held.run != run:
+                # Announced while the write was waiting.
+                return
         own_ranges = self._apply(ownership, run)
         if not self._takes_grants_by_report():
             await self._grant_all(own_ranges)
@@ -487,6 +495,10 @@
             for current in self.held.ranges
         }
         for key_range in own_ranges:
+            if not self._still_owned(key_range):
+                # Reassigned, or another run was announced, since the last
+                # grant was sent.
+                continue
             await self._grant_if_due(
                 key_range,
                 held.get((key_range.first, key_range.last, key_range.token)),
@@ -648,11 +660,9 @@
         Gives up once the time of the grant is over, the server has another
         run, or its keys are assigned to this member again.
         """
-        run = self.held.run
         try:
             while (
-                self.issued_grants.is_ending(grant)
-                and self.held.run == run
+                self.issued_grants.is_ending(grant, self.held.run)
                 and not self._owns_any(grant)
                 and not await self._try_release(grant)
             ):
@@ -669,7 +679,7 @@
         )
 
     async def _try_release(self, grant: issued_grants.IssuedGrant) -> bool:
-        """Tell the server to release keys; return whether it has."""
+        """Tell the server to release keys; return whether it has answered."""
         commands = self.get_commands()
         if commands is None:
             return False
@@ -683,6 +693,9 @@
             logs.order_failed("release", first, last, repr(error))
             return False
         logs.keys_released(first, last, token, outcome.detail)
+        if not self.issued_grants.is_ending(grant, self.held.run):
+            # The answer may be that of another run.
+            return True
         if outcome.done:
             self._confirm_release(grant, outcome.handover)
         return outcome.done
@@ -719,6 +732,12 @@
         """
         if self.issued_grants.held_by_earlier_run(key_range, now):
             return False
+        if (
+            key_range.token in self.regrant_tokens
+            and now < self.started_at + self.settings.times.wait_s
+        ):
+            # An earlier process may have granted them to the earlier run.
+            return False
         first_seen_at = self.first_seen_at.get(key_range.token, now)
         wait_ends_at = first_seen_at + self.settings.times.wait_s
         return key_range.released or now >= wait_ends_at
@@ -733,7 +752,6 @@
         commands = self.get_commands()
         if commands is None:
             return
-        run = self.held.run
         grant = key_grants.KeyGrant(
             key_range.first,
             key_range.last,
@@ -754,7 +772,7 @@
             )
             return
         except connections.CommandLostError as error:
-            # It has arrived by now, or never will.
+            # Its bytes have left by now, if ever.
             held_until = self.clock.now() + longest_hold_s
             self._record_issued(key_range, held_until)
             self.uncertain_until = max(self.uncertain_until, held_until)
@@ -771,7 +789,7 @@
             )
             self.read_soon()
             return
-        if run == self.held.run and self._still_owned(key_range):
+        if self._still_owned(key_range):
             self._record_grant(key_range, now + hold_s)
 
     def _record_issued(
@@ -803,9 +821,10 @@
             )
 
     def _still_owned(self, key_range: key_ranges.Range) -> bool:
-        """Return whether a range is still assigned to this member."""
+        """Return whether a range is still assigned to the server's run."""
         return any(
             own_range.token == key_range.token
+            and own_range.holder.run == self.held.run
             and own_range.first <= key_range.first
             and key_range.last <= own_range.last
             for own_range in self.own_ranges
--- a/tests/test_issued_grants.py
+++ b/tests/test_issued_grants.py
@@ -73,8 +73,9 @@
         after_moves(key_ranges.Move(100, 199, B), key_ranges.Move(300, 399, B))
     )
     assert issued.confirm_release(released) == UNTIL
-    assert not issued.is_ending(released)
-    assert issued.is_ending(expired)
+    assert not issued.is_ending(released, A.run)
+    assert issued.is_ending(expired, A.run)
+    assert not issued.is_ending(expired, "next")
     assert issued.pop_expired(UNTIL) == [expired]
     assert issued.pop_expired(UNTIL) == []
 
