Test that a connection ends after a response that says so

The fix of it had no test. Before: with ``self._says_close()`` taken out of ``_Request.send_headers``, test_connection_ends_after_a_response_that_ says_so fails, since the next request on the connection is served (b'H' for the end of the connection). After: it passes.

The module's docstring no longer speaks of the size of reports alone.

--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -1,6 +1,7 @@
-"""Tests that the size of reports is limited."""
+"""Tests of how reports that are not accepted are refused."""
 
 import collections.abc
+import contextlib
 import itertools
 import socket
 import threading
@@ -44,3 +45,29 @@
             for sent_chunks in itertools.count():
                 assert sent_chunks * len(chunk) < MAX_SENT_BYTES
                 connection.sendall(chunk)
+
+
+def test_connection_ends_after_a_response_that_says_so(port: int) -> None:
+    """No request is served on a connection after ``Connection: close``.
+
+    Guards against a connection that the response to a malformed report
+    announced to be closed, and that was kept.
+    """
+    with (
+        socket.create_connection(("127.0.0.1", port)) as connection,
+        connection.makefile("rb") as file,
+    ):
+        connection.settimeout(TIMEOUT_S)
+        connection.sendall(
+            b"PUT /api/instances/i-1 HTTP/1.1\r\nHost: a\r\n"
+            b"Content-Length: 1\r\n\r\n{"
+        )
+        assert file.readline().startswith(b"HTTP/1.1 400 ")
+        headers = list(iter(file.readline, b"\r\n"))
+        assert b"Connection: close\r\n" in headers
+        assert file.read(2) == b"{}"
+        with contextlib.suppress(ConnectionError):
+            connection.sendall(
+                b"DELETE /api/instances/i-1 HTTP/1.1\r\nHost: a\r\n\r\n"
+            )
+            assert file.read(1) == b""
