Test that a stuck HTTP server does not hold up the stop

Before: with its change to Sidecar.stop undone, test_http_server_that_does_not_end_does_not_hold_up_the_stop fails: the stop has not returned 20 s after it began, with 3 s of grace. It fails as well if the stop gives up its wait but leaves a thread of the event loop's executor to it. After: it passes.

The test lets the server's own stop last a minute instead of its 0.7 s, so that a busy machine can't blur the difference.

--- a/tests/integration/test_sidecar_stop.py
+++ b/tests/integration/test_sidecar_stop.py
@@ -9,9 +9,11 @@
 import dataclasses
 import pathlib
 import socket
+import threading
 import typing
 
 import pytest
+from bronzepaddle_callers import server
 from bronzepaddle_node import process_end, sidecar
 
 from integration import platform_standins, test_sidecar
@@ -20,6 +22,9 @@
 """More than the kernel buffers between two processes of this machine."""
 
 SMALL_BUFFER_BYTES: typing.Final = 8192
+STUCK_STOP_TIMEOUT_S: typing.Final = 20.0
+"""Timeout of a stop while the HTTP server is stuck, which lasts longer."""
+
 WATCH_S: typing.Final = sidecar.MIN_STOP_S + 1.5
 """Time after which a stop that waits for no request would be over."""
 
@@ -205,6 +210,35 @@
         connect(fleet, "three")
 
 
+def test_http_server_that_does_not_end_does_not_hold_up_the_stop(
+    fleet: test_sidecar.Fleet,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A stop ends within the grace time, even if a port's server is stuck.
+
+    Guards against a stop that waits for the threads of the HTTP server as
+    long as that server's own stop does, or that leaves this wait to a thread
+    of the event loop's executor, which the end of the loop waits for.
+    """
+    executor = concurrent.futures.ThreadPoolExecutor(max_workers=1)
+    fleet.loop.call_soon_threadsafe(fleet.loop.set_default_executor, executor)
+    process = fleet.sidecars["three"]
+    process.settings = settings_with_grace(process, 3.0)
+    released = threading.Event()
+    with monkeypatch.context() as stuck:
+        stuck.setattr(
+            process.caller_server.cheroot_server, "stop", released.wait
+        )
+        # The server's own stop takes much longer than the grace time.
+        stuck.setattr(server, "STOP_SLACK_S", test_sidecar.WAIT_TIMEOUT_S)
+        try:
+            stop(fleet, "three").result(STUCK_STOP_TIMEOUT_S)
+            # The only thread of the executor is free.
+            executor.submit(int).result(STUCK_STOP_TIMEOUT_S)
+        finally:
+            released.set()
+
+
 def settings_with_grace(
     process: sidecar.Sidecar, grace_s: float
 ) -> typing.Any:
