--- a/packages/bronzepaddle-node/src/bronzepaddle_node/__init__.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/__init__.py
@@ -15,6 +15,6 @@
   serves those for the backend server on the same VM, and ``crash_detector``
   rejects requests that have crashed two servers.  ``reconciler`` with
   ``planning`` maintains the ownership of keys, ``status_broadcast`` and
-  ``peer_table`` exchange statuses with peers, and ``configuration`` follows
-  the configuration.
+  ``peer_table`` exchange statuses with peers, ``configuration`` follows the
+  configuration, and ``graceful_shutdown`` drains the process before it ends.
 """
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -50,11 +50,11 @@
 from bronzepaddle_node import (
     configuration,
     crash_detector,
+    graceful_shutdown,
     held_keys,
     listen_sockets,
     local_backend,
     peer_table,
-    process_end,
     reconciler,
     router,
     runtime_stats,
@@ -73,20 +73,6 @@
 The backend server itself waits for at most one second.
 """
 
-MIN_STOP_S: typing.Final = 2.5
-"""Minimum time for which callers are still served after a request to stop.
-
-Callers learn of the stop from two health checks, one second apart.
-"""
-
-USED_GRACE_SHARE: typing.Final = 11 / 12
-"""Share of the grace time after which ``stop`` returns in any case."""
-
-CLOSE_TIMEOUT_S: typing.Final = 0.2
-"""Time that ``close`` gives each HTTP server for its running requests."""
-
-STOP_POLL_S: typing.Final = 0.05
-
 DIVIDED_RETRY_SHARE: typing.Final = 0.5
 """Share of the fleet's retry budget that is divided among the processes.
 
@@ -329,7 +315,11 @@
     ) -> server.HttpServer:
         """Return an HTTP server that doesn't listen yet."""
         limits = route_table.Limits()
-        drain_s = self.settings.grace_s * (1 - USED_GRACE_SHARE) / 2
+        drain_s = (
+            self.settings.grace_s
+            * (1 - graceful_shutdown.USED_GRACE_SHARE)
+            / 2
+        )
         return server.HttpServer(
             root,
             listen,
@@ -581,49 +571,32 @@
         Returns within the grace time, even if requests are still running.
         The port for callers is closed, unless a request is still running.
         """
-        started_at = self.clock.now()
+        shutdown = graceful_shutdown.GracefulShutdown(
+            self.caller_server,
+            self.peer_service,
+            self.router,
+            self.local_backend,
+            self.clock,
+            self.settings.grace_s,
+        )
         self.leaving = True
         logs.process("stopping", self.settings.name)
-        self.caller_server.disable_keep_alive()
         self.broadcaster.broadcast_soon()
-        known_at = started_at + MIN_STOP_S
-        ends_at = started_at + self.settings.grace_s * USED_GRACE_SHARE
-        self._set_end(process_end.ProcessEnd(known_at, ends_at))
-        await self.clock.sleep(min(known_at, ends_at) - started_at)
-        if await self._wait_for_requests(ends_at):
-            # Requests that arrive from here on are rejected, so that no more
-            # are running when the process ends.
-            self._set_end(process_end.NOW)
-            stopping = self.caller_server.begin_stop(CLOSE_TIMEOUT_S)
-            while stopping.is_alive() and self.clock.now() < ends_at:
-                await self.clock.sleep(STOP_POLL_S)
-            await self._wait_for_requests(ends_at)
+        await shutdown.drain()
         logs.process("stopped", self.settings.name)
 
-    def _set_end(self, end: process_end.ProcessEnd) -> None:
-        """Begin no requests that the end of this process would cut off."""
-        self.local_backend.process_end = self.router.process_end = end
-
-    async def _wait_for_requests(self, ends_at: float) -> bool:
-        """Wait until no request is in flight; return False if that is late."""
-        while self._has_requests_in_flight():
-            if self.clock.now() >= ends_at:
-                logs.stopped_early(self.caller_server.requests_in_progress())
-                return False
-            await self.clock.sleep(STOP_POLL_S)
-        return True
-
     async def close(self) -> None:
         """Cancel all tasks and close all ports, as if the process were lost.
 
-        Running requests of callers get only ``CLOSE_TIMEOUT_S`` to end.
+        Running requests of callers get only
+        ``graceful_shutdown.CLOSE_TIMEOUT_S`` to end.
         """
         await self.background_tasks.stop()
         await self.reconciler.stop()
         await self.configuration.stop()
         for http_server in self.http_servers:
             await self.loop.run_in_executor(
-                None, http_server.stop, CLOSE_TIMEOUT_S
+                None, http_server.stop, graceful_shutdown.CLOSE_TIMEOUT_S
             )
         if self.grpc_server is not None:
             self.grpc_server.close()
@@ -633,13 +606,3 @@
         self.command_threads.close()
         self.metrics_recorder.close()
         self.workers.shutdown(wait=False, cancel_futures=True)
-
-    def _has_requests_in_flight(self) -> bool:
-        """Return whether a request of a caller or a peer is in flight.
-
-        It is until its response has been written to its end.
-        """
-        return bool(
-            self.caller_server.requests_in_progress()
-            or self.peer_service.is_serving()
-        )
--- a/tests/integration/test_sidecar_stop.py
+++ b/tests/integration/test_sidecar_stop.py
@@ -14,7 +14,7 @@
 
 import pytest
 from bronzepaddle_callers import server
-from bronzepaddle_node import process_end, sidecar
+from bronzepaddle_node import graceful_shutdown, process_end, sidecar
 
 from integration import platform_standins, test_sidecar
 
@@ -25,7 +25,7 @@
 STUCK_STOP_TIMEOUT_S: typing.Final = 20.0
 """Timeout of a stop while the HTTP server is stuck, which lasts longer."""
 
-WATCH_S: typing.Final = sidecar.MIN_STOP_S + 1.5
+WATCH_S: typing.Final = graceful_shutdown.MIN_DRAIN_S + 1.5
 """Time after which a stop that waits for no request would be over."""
 
 
