--- a/tests/integration/test_endless_memory.py
+++ b/tests/integration/test_endless_memory.py
@@ -11,15 +11,22 @@
 
 from integration import platform_standins, test_explaining
 
-MEMORY_KB: typing.Final = 200 * 1024
-"""Memory of the smallest VM."""
+MAX_MEMORY_KB: typing.Final = 200 * 1024
+"""Bound on the memory of a process: that of the smallest VM."""
 
 CALLERS: typing.Final = 40
+"""Requests that are sent at the same time."""
+
 ROUNDS: typing.Final = 2
+"""How often ``CALLERS`` requests are sent."""
 
 
 class EndlessServer(platform_standins.AppServer):
-    """Sends on each connection, after a request, until the client closes."""
+    """A backend server whose responses never end.
+
+    It listens on a port of its own for requests.  On each connection it reads
+    one request, then sends ``response_bytes`` until the client closes it.
+    """
 
     def __init__(
         self,
@@ -34,10 +41,11 @@
 
     @property
     def address(self) -> str:
-        """Return the address of the endless responses."""
+        """Return the address for requests, which the server announces."""
         return "{}:{}".format(*self.listening.getsockname())
 
     def _accept(self) -> None:
+        """Serve each connection on a thread of its own until stopped."""
         while True:
             try:
                 connection, _ = self.listening.accept()
@@ -48,13 +56,18 @@
             ).start()
 
     def _send(self, connection: socket.socket) -> None:
+        """Read one request and respond until the client closes."""
         with connection:
             try:
                 request = connection.recv(65536)
-                request_id = request.partition(b"Request-Id: ")[2]
-                own = b"Request-Id: " + request_id.partition(b"\r\n")[0]
+                after_name = request.partition(b"Request-Id: ")[2]
+                header = b"Request-Id: " + after_name.partition(b"\r\n")[0]
                 for piece in self.response_bytes():
-                    connection.sendall(piece.replace(b"Request-Id: r-1", own))
+                    # A response must have the id of its request; those of
+                    # ``test_endless_responses`` have a fixed one.
+                    connection.sendall(
+                        piece.replace(b"Request-Id: r-1", header)
+                    )
             except OSError:
                 return
 
@@ -65,7 +78,10 @@
 
 
 class Fleet(test_explaining.Fleet):
-    """Two processes, of which one has an endless server."""
+    """Two processes, of which one has an ``EndlessServer``.
+
+    The other one's server is never announced.
+    """
 
     def __init__(
         self, folder: pathlib.Path, response_bytes: endless.ResponseBytes
@@ -87,6 +103,7 @@
 def fleet(
     tmp_path: pathlib.Path, request: pytest.FixtureRequest
 ) -> collections.abc.Iterator[Fleet]:
+    """Yield a fleet for each kind of endless response."""
     running = Fleet(tmp_path, request.param)
     try:
         yield running
@@ -116,5 +133,6 @@
         statuses = {response.result().status for response in sent.values()}
         assert statuses <= {502, 503}
     assert fleet.processes["three"].poll() is None
-    assert fleet.peak_memory_kb("three") < MEMORY_KB
+    assert fleet.peak_memory_kb("three") < MAX_MEMORY_KB
+    # The process still responds: no route has this prefix.
     assert fleet.send("three", "/nowhere/a", "r-9").status == 404
--- a/tests/integration/test_request_framing.py
+++ b/tests/integration/test_request_framing.py
@@ -1,4 +1,7 @@
-"""Tests that what follows a request on its connection is the next request."""
+"""Tests of where a request ends on its connection, and the next one begins.
+
+An HTTP server of its own gets the raw bytes of requests.
+"""
 
 import collections.abc
 import socket
@@ -11,12 +14,25 @@
 
 MAX_BODY_BYTES: typing.Final = 1000
 THREADS: typing.Final = 2
+MAX_HEADER_BYTES: typing.Final = 8192
+IDLE_TIMEOUT_S: typing.Final = 60.0
+DRAIN_S: typing.Final = 0.1
 TIMEOUT_S: typing.Final = 30.0
-"""Time after which a request counts as unanswered."""
+"""Time after which a request counts as unanswered.
+
+It is shorter than ``IDLE_TIMEOUT_S``, at whose end a connection that holds a
+thread gives it back.
+"""
+
+SMUGGLED_REQUEST: typing.Final = b"GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n"
+"""A request inside or after the body of another one; it must not be served."""
 
 
 class Echo:
-    """Serves requests with their own bodies, and keeps the requests."""
+    """An HTTP server that responds to each request with the request's body.
+
+    ``requests`` are those that were passed on, that is, not refused.
+    """
 
     def __init__(self) -> None:
         self.requests: list[buffered_app.BufferedRequest] = []
@@ -25,13 +41,14 @@
                 self.serve, header_names.CALLER_HEADERS, lambda: MAX_BODY_BYTES
             ),
             options.Endpoint("127.0.0.1", 0),
-            server.Limits(THREADS, 8192, 60.0, 0.1),
+            server.Limits(THREADS, MAX_HEADER_BYTES, IDLE_TIMEOUT_S, DRAIN_S),
         )
         self.http_server.start()
 
     def serve(
         self, request: buffered_app.BufferedRequest
     ) -> http_messages.Response:
+        """Return the response to a request, with the request's body."""
         self.requests.append(request)
         return http_messages.Response(
             200,
@@ -43,6 +60,7 @@
         )
 
     def connect(self) -> socket.socket:
+        """Return a new connection to the server."""
         address = self.http_server.address
         caller = socket.create_connection((address.host, address.port))
         caller.settimeout(TIMEOUT_S)
@@ -57,6 +75,10 @@
 
 
 def request_bytes(framed_body: bytes, headers: bytes = b"") -> bytes:
+    """Return a request with a chunked body.
+
+    ``framed_body`` are its chunks, last chunk and trailer section, as sent.
+    """
     return (
         b"POST /a HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\n"
         + headers
@@ -78,6 +100,14 @@
     return int(line.split()[1]), file.read(length)
 
 
+def ended(file: typing.BinaryIO) -> bool:
+    """Return whether the connection ends; a reset counts as well."""
+    try:
+        return file.read(1) == b""
+    except ConnectionResetError:
+        return True
+
+
 @pytest.mark.parametrize(
     "trailers", [b"", b"X-Sum: 1\r\n", b"X-Sum: 1\r\nGET /b HTTP/1.1: 2\r\n"]
 )
@@ -101,8 +131,9 @@
 ) -> None:
     """More kept connections than threads are idle after a chunked body.
 
-    Guards against a thread that waits on each of them, so that the process
-    reads no other request.
+    Each connection but the first ones can only be served if those before it
+    hold no thread.  Guards against a thread that waits on each of them, so
+    that the process reads no other request.
     """
     callers = []
     body = b"5\r\nhello\r\n0\r\n\r\n"
@@ -142,6 +173,14 @@
         b"5 " + b"x" * 10_000 + b"\r\nhello\r\n0\r\n\r\n",
         b"0\r\n" + b"X-Sum: 1\r\n" * 10_000 + b"\r\n",
     ],
+    ids=[
+        "chunk longer than its size",
+        "negative size",
+        "size with a prefix",
+        "empty line before the size",
+        "long line with the size",
+        "long trailer section",
+    ],
 )
 def test_malformed_chunks_are_rejected(echo: Echo, body: bytes) -> None:
     """A malformed body is refused, and its connection closed.
@@ -149,26 +188,30 @@
     Guards against lines without end that are kept, and against bytes of a
     body that are taken for another request.
     """
-    smuggled = b"GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n"
     with echo.connect() as caller, caller.makefile("rb") as file:
-        caller.sendall(request_bytes(body + smuggled))
+        caller.sendall(request_bytes(body + SMUGGLED_REQUEST))
         assert read_response(file)[0] == 400
         assert ended(file)
     assert not echo.requests
 
 
 @pytest.mark.parametrize(
-    ("headers", "status"), [(b"Deadline-Ms: soon\r\n", 400), (b"", 413)]
+    ("headers", "body_start", "status"),
+    [
+        (b"Deadline-Ms: soon\r\n", b"", 400),
+        (b"", b"x" * (MAX_BODY_BYTES + 1), 413),
+    ],
+    ids=["refused for a header", "refused for the length of its body"],
 )
 def test_unread_chunked_body_is_no_request(
-    echo: Echo, headers: bytes, status: int
+    echo: Echo, headers: bytes, body_start: bytes, status: int
 ) -> None:
-    """A connection is closed after a request refused before its body.
+    """A connection is closed after a request that is refused early.
 
-    Guards against a request that is smuggled inside a body.
+    Its body has then not been read to the end.  Guards against a request that
+    is smuggled inside a body.
     """
-    smuggled = b"GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n"
-    body = smuggled if headers else b"x" * (MAX_BODY_BYTES + 1) + smuggled
+    body = body_start + SMUGGLED_REQUEST
     with echo.connect() as caller, caller.makefile("rb") as file:
         caller.sendall(
             request_bytes(
@@ -195,9 +238,10 @@
 def test_odd_query_and_headers_are_passed_on(
     echo: Echo, target: bytes, header: bytes
 ) -> None:
-    """A query or header that only the backend server understands.
+    """A query or header reaches the router as the caller sent it.
 
-    Guards against the HTTP library answering 404, 400 or 500 by itself.
+    Only the backend server has to understand it.  Guards against the HTTP
+    library answering 404, 400 or 500 by itself.
     """
     with echo.connect() as caller, caller.makefile("rb") as file:
         caller.sendall(
@@ -210,11 +254,3 @@
         name, _, value = header.decode().strip().partition(": ")
         received = [(name.lower(), value) for name, value in request.headers]
         assert (name.lower(), value) in received
-
-
-def ended(file: typing.BinaryIO) -> bool:
-    """Return whether the connection ends; a reset counts as well."""
-    try:
-        return file.read(1) == b""
-    except ConnectionResetError:
-        return True
--- a/tests/integration/test_sidecar.py
+++ b/tests/integration/test_sidecar.py
@@ -351,7 +351,9 @@
 def test_announcement_of_another_service_ends_no_run(
     fleet: Fleet, same_run: bool
 ) -> None:
-    """Another writer announces a server of a service that doesn't exist.
+    """Another writer reports a server of a service that doesn't exist.
+
+    With ``same_run``, the report has the id and start of the real server.
 
     Guards against the report being taken for a new run of the server: its
     grants were then recorded as released while it still held the keys, or its
@@ -359,6 +361,7 @@
     """
     name = "two"
     server, process = fleet.servers[name], fleet.sidecars[name]
+    # The run of the real server and the tokens of its grants, before.
     run = process.held_keys.run
     tokens = {held.token for held in process.held_keys.ranges}
     assert tokens
@@ -386,6 +389,7 @@
         for released in process.reconciler.released_grants
     )
     sequence = server.sequence
+    # The odd report had a sequence number 1000 above that of the server then.
     fleet.wait_until(
         lambda: (
             (latest := process.tracker.latest) is not None
--- a/tests/integration/test_sidecar_stop.py
+++ b/tests/integration/test_sidecar_stop.py
@@ -13,6 +13,7 @@
 import typing
 
 import pytest
+from bronzepaddle import sidecar_options
 from bronzepaddle_callers import server
 from bronzepaddle_node import graceful_shutdown, process_end, sidecar
 
@@ -22,6 +23,13 @@
 """More than the kernel buffers between two processes of this machine."""
 
 SMALL_BUFFER_BYTES: typing.Final = 8192
+
+END_BEFORE_DEADLINE_S: typing.Final = 10.0
+"""Time until an end that is before the deadline of ``Fleet.send``, 15 s."""
+
+END_AFTER_DEADLINE_S: typing.Final = 100.0
+"""Time until an end that is after that deadline."""
+
 STUCK_STOP_TIMEOUT_S: typing.Final = 20.0
 """Timeout of a stop while the HTTP server is stuck, which lasts longer."""
 
@@ -30,7 +38,7 @@
 
 
 class LargeAppServer(platform_standins.AppServer):
-    """A backend server whose responses have a large body."""
+    """A backend server; its response is large if the path says ``large``."""
 
     def _execute(
         self,
@@ -38,7 +46,7 @@
         start_response: typing.Any,
         body: bytes,
     ) -> collections.abc.Iterable[bytes]:
-        """Return a large response."""
+        """Return a large response, or the ordinary one."""
         if "large" not in environ["PATH_INFO"]:
             return super()._execute(environ, start_response, body)
         start_response(
@@ -56,6 +64,7 @@
 def fleet(
     tmp_path: pathlib.Path,
 ) -> collections.abc.Iterator[test_sidecar.Fleet]:
+    """Yield a fleet of its own for a test, once all requests are served."""
     running = test_sidecar.Fleet(tmp_path, LargeAppServer)
     try:
         running.wait_until_served()
@@ -83,6 +92,7 @@
 
 
 def read_to_end(caller: socket.socket) -> bytes:
+    """Return all bytes until the other side closes the connection."""
     received = bytearray()
     while piece := caller.recv(1 << 20):
         received += piece
@@ -100,7 +110,9 @@
     process = fleet.sidecars["three"]
     received = [len(server.received) for server in fleet.servers.values()]
     now = process.clock.now()
-    process.router.process_end = process_end.ProcessEnd(now, now + 10.0)
+    process.router.process_end = process_end.ProcessEnd(
+        known_at=now, ends_at=now + END_BEFORE_DEADLINE_S
+    )
     rejected = fleet.send("three", "/plain/a")
     assert rejected.status == 503
     assert float(rejected.headers["Retry-After"]) > 0
@@ -108,7 +120,9 @@
         len(server.received) for server in fleet.servers.values()
     ]
     now = process.clock.now()
-    process.router.process_end = process_end.ProcessEnd(now, now + 100.0)
+    process.router.process_end = process_end.ProcessEnd(
+        known_at=now, ends_at=now + END_AFTER_DEADLINE_S
+    )
     assert fleet.send("three", "/plain/a").status == 200
 
 
@@ -124,7 +138,7 @@
     for process in owners:
         now = process.clock.now()
         process.local_backend.process_end = process_end.ProcessEnd(
-            now, now + 10.0
+            known_at=now, ends_at=now + END_BEFORE_DEADLINE_S
         )
     assert fleet.send("three", "/keyed/a", 5).status == 503
     assert received == [
@@ -161,7 +175,11 @@
 def test_caller_that_reads_nothing_does_not_hold_up_the_stop(
     fleet: test_sidecar.Fleet,
 ) -> None:
-    """A stop ends within the grace time, whatever callers do."""
+    """A stop ends within the grace time, whatever callers do.
+
+    Guards against a stop that waits without end for a caller that does not
+    read its response.
+    """
     with connect(fleet, "three") as caller:
         caller.sendall(
             b"GET /plain/large HTTP/1.1\r\nHost: one.example\r\n"
@@ -177,17 +195,19 @@
 def test_stop_waits_for_responses_to_peers(fleet: test_sidecar.Fleet) -> None:
     """A stop lasts until a response to a peer is written.
 
-    Guards against an owner that ends while the peer still receives.
+    Guards against a process that ends while the peer still receives.
     """
-    owner = fleet.sidecars["three"]
+    process = fleet.sidecars["three"]
+    # All requests for the service go to the server of this process.
     fleet.servers["four"].state = "draining"
     fleet.servers["four"].announce(fleet.control("four"))
-    owner.pacer.bytes_per_s = 1_000_000.0
-    owner.settings = settings_with_grace(owner, 60.0)
+    # Sending the large response takes longer than ``WATCH_S``.
+    process.pacer.bytes_per_s = 1_000_000.0
+    process.settings = settings_with_grace(process, 60.0)
     with concurrent.futures.ThreadPoolExecutor() as executor:
         sending = executor.submit(fleet.send, "one", "/plain/large")
         fleet.wait_until(
-            owner.peer_service.is_serving, "a peer's request runs"
+            process.peer_service.is_serving, "a peer's request runs"
         )
         stopping = stop(fleet, "three")
         done, _ = concurrent.futures.wait([stopping], WATCH_S)
@@ -241,6 +261,6 @@
 
 def settings_with_grace(
     process: sidecar.Sidecar, grace_s: float
-) -> typing.Any:
+) -> sidecar_options.SidecarOptions:
     """Return the settings of a sidecar with another grace time."""
     return dataclasses.replace(process.settings, grace_s=grace_s)
