Test when grants are over with schedules of faults of live servers

Refused connections, announcements that are held up, delayed announcements of earlier runs (at the same address, at another one, of a run that lives on), a thawed process that hears of an earlier run first, and runs that alternate while the store is down; with both kinds of servers.

Five broken builds, each caught by a named seed or scenario. An earlier run that lives on is a server of its own for the invariants; without that regrant-at-once is not caught.

--- a/tests/support/broken_reconcilers.py
+++ b/tests/support/broken_reconcilers.py
@@ -10,12 +10,15 @@
 import unittest.mock
 
 from bronzepaddle import ids, key_ranges, store_leases
-from bronzepaddle_backend import key_reports
+from bronzepaddle_backend import connections, key_reports
 from bronzepaddle_node import issued_grants, reconciler, reported_grants
 from bronzepaddle_peers import statuses
 
 _Patches: typing.TypeAlias = list[typing.Any]
 
+EARLY_S: typing.Final = 2.0
+"""Time by which the variant ``expires-early`` is early."""
+
 
 def _no_wait() -> _Patches:
     """Take keys over without waiting for the lease of the earlier holder."""
@@ -235,11 +238,131 @@
 """Variants that matter where grants travel in reports."""
 
 
+def _refusal_ends_grant() -> _Patches:
+    """Take a release that the server refuses for a release it has made."""
+
+    async def try_release(
+        self: reconciler.OwnershipReconciler, grant: issued_grants.IssuedGrant
+    ) -> bool:
+        commands = self.get_commands()
+        if commands is None:
+            return False
+        handover = ""
+        try:
+            handover = (await commands.release(*grant)).handover
+        except connections.CommandLostError:
+            return False
+        except connections.CommandNotSentError:
+            pass
+        self._confirm_release(grant, handover)
+        return True
+
+    return [
+        unittest.mock.patch.object(
+            reconciler.OwnershipReconciler, "_try_release", try_release
+        )
+    ]
+
+
+def _new_run_ends_grant() -> _Patches:
+    """Record all grants to a run as released once another is announced."""
+    original = reconciler.OwnershipReconciler._apply
+
+    def apply(
+        self: reconciler.OwnershipReconciler,
+        ownership: key_ranges.Ownership,
+        run: str,
+    ) -> list[key_ranges.Range]:
+        issued = self.issued_grants
+        if issued.run != run:
+            for grant, until in issued.held_until.items():
+                self._record_released(
+                    grant, "", issued_grants.Evidence.RELEASED, until
+                )
+            for ending in issued.ending:
+                self._record_released(
+                    ending.grant,
+                    "",
+                    issued_grants.Evidence.RELEASED,
+                    ending.held_until,
+                )
+            self.issued_grants = issued_grants.IssuedGrants()
+        return original(self, ownership, run)
+
+    return [
+        unittest.mock.patch.object(
+            reconciler.OwnershipReconciler, "_apply", apply
+        )
+    ]
+
+
+def _expires_early() -> _Patches:
+    """Assume that the server holds a grant for much less than its time."""
+
+    def add(
+        self: issued_grants.IssuedGrants,
+        key_range: key_ranges.Range,
+        held_until: float,
+    ) -> None:
+        original(self, key_range, held_until - EARLY_S)
+
+    original = issued_grants.IssuedGrants.add
+    return [unittest.mock.patch.object(issued_grants.IssuedGrants, "add", add)]
+
+
+def _release_survives_regrant() -> _Patches:
+    """Keep the release of a grant on record while the grant is made again."""
+
+    def record_issued(
+        self: reconciler.OwnershipReconciler,
+        key_range: key_ranges.Range,
+        held_until: float,
+    ) -> None:
+        self.issued_grants.add(key_range, held_until)
+
+    return [
+        unittest.mock.patch.object(
+            reconciler.OwnershipReconciler, "_record_issued", record_issued
+        )
+    ]
+
+
+def _regrant_at_once() -> _Patches:
+    """Grant keys to a new run although an earlier run may hold them."""
+
+    def held_by_earlier_run(
+        _self: issued_grants.IssuedGrants,
+        _key_range: key_ranges.Range,
+        _now: float,
+    ) -> bool:
+        return False
+
+    return [
+        unittest.mock.patch.object(
+            issued_grants.IssuedGrants,
+            "held_by_earlier_run",
+            held_by_earlier_run,
+        )
+    ]
+
+
+GRANT_END_VARIANTS: typing.Final[
+    dict[str, collections.abc.Callable[[], _Patches]]
+] = {
+    "refusal-ends-grant": _refusal_ends_grant,
+    "new-run-ends-grant": _new_run_ends_grant,
+    "expires-early": _expires_early,
+    "release-survives-regrant": _release_survives_regrant,
+    "regrant-at-once": _regrant_at_once,
+}
+"""Variants that mistake when a grant is over."""
+
+
 @contextlib.contextmanager
 def patched(variant: str) -> collections.abc.Iterator[None]:
     """Apply the patches of a variant; an empty name applies none."""
     with contextlib.ExitStack() as stack:
-        variants = VARIANTS | REPORT_VARIANTS
+        variants = VARIANTS | REPORT_VARIANTS | GRANT_END_VARIANTS
         for patch in variants[variant]() if variant else []:
             stack.enter_context(patch)
         yield
--- a/tests/support/simulated_fleet.py
+++ b/tests/support/simulated_fleet.py
@@ -41,6 +41,9 @@
 MEMBER_CLOCK_RATES: typing.Final = (0.995, 1.0, 1.005)
 """Rates of the members' clocks relative to the loop's time."""
 
+EARLIER_SERVER_ID: typing.Final = "i-earlier"
+"""Id of a run that ended before the current one started."""
+
 PAUSES_S: typing.Final = (0.05, 0.4, 1.0, 1.7, 2.0, 2.3, 3.3, 4.0)
 """Pauses before a random event."""
 
@@ -107,13 +110,14 @@
         return self.fleet.servers[self.name]
 
     def _commands(self) -> key_grants.KeyGrantCommands | None:
-        """Return the commands to the server, None until it is announced."""
-        server = self.server
-        return (
-            fake_servers.FakeCommands(server)
-            if server.run == self.held.run
-            else None
+        """Return the commands to the announced run, None if there is none."""
+        run = self.held.run
+        server = (
+            self.server
+            if self.server.run == run
+            else self.fleet.addressed_servers.get(run)
         )
+        return None if server is None else fake_servers.FakeCommands(server)
 
     async def _pull(
         self, address: cells.Address, request: statuses.OwnershipRequest
@@ -195,7 +199,9 @@
             self.held.set_run(announcement.run)
         return recorded
 
-    def receive_earlier_announcement(self) -> None:
+    def receive_earlier_announcement(
+        self, server_id: str = EARLIER_SERVER_ID
+    ) -> None:
         """Process a delayed announcement of an earlier run of the server."""
         server = self.server
         keys = (
@@ -204,19 +210,22 @@
             else None
         )
         announcement = server_tracker.Announcement(
-            "i-earlier",
+            server_id,
             SERVICE,
             "127.0.0.1",
             1,
             9,
             server_tracker.AnnouncedState.READY,
-            1,
+            int(self.fleet.loop.time() * 1000),
             1,
             0.0,
             keys,
         )
         if self.tracker.record(announcement, self.clock.now()):
             self.held.set_run(announcement.run)
+            if keys is not None:
+                # The response reaches nobody.
+                self.reconciler.on_report(keys)
 
     async def _send_statuses(self) -> None:
         while True:
@@ -276,9 +285,11 @@
 
     ``muted`` are the members whose statuses are lost, ``cut_links`` the pairs
     of members that can't reach each other, ``network_delays_s`` the delays by
-    receiver.  While ``commands_late`` is set, a share of
-    ``late_command_share`` of the grants takes effect after a delay in seconds
-    from ``command_delay_range_s`` and reports a lost command, and some
+    receiver.  ``addressed_servers`` maps other runs than the current ones to
+    the servers at their addresses; ``earlier_servers`` are the earlier runs
+    that live on beside the current ones.  While ``commands_late`` is set, a
+    share of ``late_command_share`` of the grants takes effect after a delay in
+    seconds from ``command_delay_range_s`` and reports a lost command, and some
     releases report one as well.
     """
 
@@ -293,6 +304,8 @@
         self.rng = random.Random(seed)
         self.store_server = simulated_cell.FakeStoreServer()
         self.servers: dict[str, fake_servers.FakeServer] = {}
+        self.addressed_servers: dict[str, fake_servers.FakeServer] = {}
+        self.earlier_servers: dict[str, fake_servers.FakeServer] = {}
         self.processes: dict[str, Process] = {}
         self.muted: set[str] = set()
         self.network_delays_s: dict[str, float] = {}
@@ -312,6 +325,15 @@
             self, name, f"i-{name}@{self.last_start_ms}"
         )
 
+    def move_server(self, name: str) -> None:
+        """Start a new run of a server; the earlier run lives on elsewhere."""
+        earlier = self.servers.pop(name)
+        if name in self.earlier_servers:
+            self.earlier_servers[name].up = False
+        self.earlier_servers[name] = earlier
+        self.addressed_servers[earlier.run] = earlier
+        self.start_server(name)
+
     def report_delay_s(self) -> float:
         """Return the delay of a report or of its response.
 
@@ -345,13 +367,15 @@
     def check_invariants(self) -> None:
         """Record a violation if two servers hold the same key.
 
-        It is not raised here, because a reconciler logs the exceptions of its
+        An earlier run that lives on is a server of its own.  The violation
+        is not raised here, because a reconciler logs the exceptions of its
         steps and continues.
         """
         now = self.loop.time()
+        servers = (*self.servers.values(), *self.earlier_servers.values())
         held = sorted(
-            (grant.first, grant.last, name, grant.token)
-            for name, server in self.servers.items()
+            (grant.first, grant.last, server.run, grant.token)
+            for server in servers
             for grant in server.held_at(now)
         )
         for before, after in itertools.pairwise(held):
--- a/tests/test_grant_ends.py
+++ b/tests/test_grant_ends.py
@@ -5,10 +5,17 @@
 """
 
 import asyncio
+import random
 import typing
 
 import pytest
-from support import fake_servers, simulated_fleet
+from support import (
+    broken_reconcilers,
+    fake_servers,
+    server_faults,
+    simulated_cell,
+    simulated_fleet,
+)
 
 SERVER_TYPES: typing.Final = (
     fake_servers.FakeServer,
@@ -77,3 +84,196 @@
     simulated_fleet.run_scenario(
         earlier_run_is_announced_while_reports_are_held_up, seed, server_type
     )
+
+
+SCHEDULE_LENGTH: typing.Final = 16
+SERVED_AGAIN_S: typing.Final = 5.0
+"""Required bound on the time until a key is served again after a fault."""
+
+OBSERVED_S: typing.Final = 10.0
+"""Time after a fault in which the service is observed."""
+
+SAMPLE_INTERVAL_S: typing.Final = 0.05
+
+
+async def _start_settled(fleet: simulated_fleet.SimulatedFleet) -> None:
+    """Start all members; wait until no grant of before their start counts."""
+    await simulated_fleet.start_all(fleet)
+    await asyncio.sleep(SETTLE_S)
+
+
+async def _longest_outage_s(fleet: simulated_fleet.SimulatedFleet) -> float:
+    """Observe the fleet; return the longest time in which a key has no server.
+
+    The keys of a server that refuses connections have none either.
+    """
+    served_at = started_at = fleet.loop.time()
+    longest_s = 0.0
+    while fleet.loop.time() - started_at < OBSERVED_S:
+        await asyncio.sleep(SAMPLE_INTERVAL_S)
+        now = fleet.loop.time()
+        listening = all(server.listening for server in fleet.servers.values())
+        if listening and fleet.all_keys_served():
+            served_at = now
+        longest_s = max(longest_s, now - served_at)
+    assert fleet.all_keys_served()
+    return longest_s
+
+
+async def keys_of_a_crashed_server_are_served_again(
+    fleet: simulated_fleet.SimulatedFleet,
+) -> None:
+    await _start_settled(fleet)
+    fleet.servers["a"].up = False
+    server_faults.refuse_connections(fleet, "a")
+    # Nothing announces the server, so that it gets no keys any more.
+    fleet.servers["a"].listening = True
+    assert await _longest_outage_s(fleet) < SERVED_AGAIN_S
+
+
+async def keys_are_served_again_after_a_refusal(
+    fleet: simulated_fleet.SimulatedFleet,
+) -> None:
+    await _start_settled(fleet)
+    server_faults.refuse_connections(fleet, "a")
+
+    def listen() -> None:
+        fleet.servers["a"].listening = True
+
+    fleet.loop.call_later(REFUSAL_S, listen)
+    assert await _longest_outage_s(fleet) < SERVED_AGAIN_S
+
+
+@pytest.mark.parametrize("server_type", SERVER_TYPES)
+@pytest.mark.parametrize("seed", range(1, 6))
+@pytest.mark.parametrize(
+    "scenario",
+    [
+        keys_of_a_crashed_server_are_served_again,
+        keys_are_served_again_after_a_refusal,
+    ],
+    ids=lambda scenario: scenario.__name__,
+)
+def test_outage_is_bounded(
+    scenario: simulated_fleet.Scenario,
+    server_type: type[fake_servers.FakeServer],
+    seed: int,
+) -> None:
+    simulated_fleet.run_scenario(scenario, seed, server_type)
+
+
+async def runs_alternate_while_the_store_is_down(
+    fleet: simulated_fleet.SimulatedFleet,
+) -> None:
+    """Make a grant again whose time was over, and reassign its keys."""
+    await simulated_fleet.start_all(fleet)
+    await server_faults.flap_without_store(
+        fleet, "d", simulated_fleet.EARLIER_SERVER_ID
+    )
+    await asyncio.sleep(SETTLE_S)
+    server_faults.recover(fleet)
+    await fleet.wait_until_served(simulated_fleet.SETTLE_S)
+
+
+async def earlier_run_lives_on(
+    fleet: simulated_fleet.SimulatedFleet,
+) -> None:
+    """Announce a new run while the earlier one holds its keys elsewhere."""
+    await simulated_fleet.start_all(fleet)
+    for name in simulated_fleet.MEMBERS:
+        fleet.move_server(name)
+        await asyncio.sleep(SETTLE_S)
+    server_faults.recover(fleet)
+    await fleet.wait_until_served(simulated_fleet.SETTLE_S)
+
+
+@pytest.mark.parametrize("server_type", SERVER_TYPES)
+@pytest.mark.parametrize("seed", range(1, 6))
+@pytest.mark.parametrize(
+    "scenario",
+    [runs_alternate_while_the_store_is_down, earlier_run_lives_on],
+    ids=lambda scenario: scenario.__name__,
+)
+def test_runs_of_a_server(
+    scenario: simulated_fleet.Scenario,
+    server_type: type[fake_servers.FakeServer],
+    seed: int,
+) -> None:
+    simulated_fleet.run_scenario(scenario, seed, server_type)
+
+
+SEEDS: typing.Final = range(1, 13)
+REPORT_SEEDS: typing.Final = range(1, 21)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_schedule(seed: int) -> None:
+    simulated_fleet.run_scenario(
+        server_faults.random_scenario(random.Random(seed), SCHEDULE_LENGTH),
+        seed,
+    )
+
+
+@pytest.mark.parametrize("seed", REPORT_SEEDS)
+def test_schedule_with_grants_by_report(seed: int) -> None:
+    simulated_fleet.run_scenario(
+        server_faults.random_scenario(random.Random(seed), SCHEDULE_LENGTH),
+        seed,
+        fake_servers.ReportingServer,
+    )
+
+
+CAUGHT_BY: typing.Final = {
+    "refusal-ends-grant": (1, live_server_refuses_connections),
+    "new-run-ends-grant": (
+        1,
+        earlier_run_is_announced_while_reports_are_held_up,
+    ),
+    "expires-early": (2, None),
+    "release-survives-regrant": (1, runs_alternate_while_the_store_is_down),
+    "regrant-at-once": (1, earlier_run_lives_on),
+}
+"""For each broken build, the seed and the scenario that must detect it.
+
+None is the random scenario of the seed.  All run with ``FakeServer``.
+"""
+
+
+@pytest.mark.parametrize("variant", broken_reconcilers.GRANT_END_VARIANTS)
+def test_broken_build_is_caught(variant: str) -> None:
+    seed, scenario = CAUGHT_BY[variant]
+    chosen = scenario or server_faults.random_scenario(
+        random.Random(seed), SCHEDULE_LENGTH
+    )
+    with (
+        broken_reconcilers.patched(variant),
+        pytest.raises(simulated_cell.Violation, match=r"\) and \("),
+    ):
+        simulated_fleet.run_scenario(chosen, seed)
+
+
+REPORT_CAUGHT_BY: typing.Final = {
+    "new-run-ends-grant": 6,
+    "expires-early": 1,
+    "regrant-at-once": 6,
+}
+"""For each broken build, the seed whose random schedule must detect it.
+
+These run with ``ReportingServer``.  No releases are sent to such servers, so
+that none is refused.
+"""
+
+
+@pytest.mark.parametrize("variant", REPORT_CAUGHT_BY)
+def test_broken_build_with_grants_by_report_is_caught(variant: str) -> None:
+    seed = REPORT_CAUGHT_BY[variant]
+    scenario = server_faults.random_scenario(
+        random.Random(seed), SCHEDULE_LENGTH
+    )
+    with (
+        broken_reconcilers.patched(variant),
+        pytest.raises(simulated_cell.Violation, match=r"\) and \("),
+    ):
+        simulated_fleet.run_scenario(
+            scenario, seed, fake_servers.ReportingServer
+        )
