--- a/tests/test_grant_ends.py
+++ b/tests/test_grant_ends.py
@@ -135,6 +135,12 @@
     fleet: simulated_fleet.SimulatedFleet,
 ) -> None:
     await _start_settled(fleet)
+    await _refuse_for_a_moment(fleet)
+
+
+async def _refuse_for_a_moment(
+    fleet: simulated_fleet.SimulatedFleet,
+) -> None:
     server_faults.refuse_connections(fleet, "a")
 
     def listen() -> None:
@@ -277,3 +283,69 @@
         simulated_fleet.run_scenario(
             scenario, seed, fake_servers.ReportingServer
         )
+
+
+async def server_restarts_while_its_grants_are_renewed(
+    fleet: simulated_fleet.SimulatedFleet,
+) -> None:
+    """Check that a new run gets no grant of the run before.
+
+    The new run is announced after the first command of a series.
+    """
+    await _start_settled(fleet)
+    earlier = fleet.servers["a"]
+    earlier_count = len(earlier.accepted)
+    while len(earlier.accepted) == earlier_count:
+        await asyncio.sleep(0.0001)
+    fleet.start_server("a")
+    fleet.processes["a"].receive_announcement(fleet.servers["a"])
+    await asyncio.sleep(SETTLE_S)
+    earlier_tokens = {grant.token for grant in earlier.accepted}
+    tokens = {grant.token for grant in fleet.servers["a"].accepted}
+    assert tokens and max(earlier_tokens) < min(tokens)
+
+
+@pytest.mark.parametrize("seed", range(1, 6))
+def test_new_run_gets_no_grant_of_the_run_before(seed: int) -> None:
+    simulated_fleet.run_scenario(
+        server_restarts_while_its_grants_are_renewed, seed
+    )
+
+
+async def process_restarts_while_an_earlier_run_lives_on(
+    fleet: simulated_fleet.SimulatedFleet,
+) -> None:
+    """Announce a new run to a new process; an earlier run holds the keys."""
+    await _start_settled(fleet)
+    await fleet.kill("a")
+    fleet.move_server("a")
+    fleet.start("a")
+    await fleet.wait_until_served(SETTLE_S)
+
+
+@pytest.mark.parametrize("server_type", SERVER_TYPES)
+@pytest.mark.parametrize("seed", range(1, 6))
+def test_restarted_process_waits_for_an_earlier_run(
+    server_type: type[fake_servers.FakeServer], seed: int
+) -> None:
+    simulated_fleet.run_scenario(
+        process_restarts_while_an_earlier_run_lives_on, seed, server_type
+    )
+
+
+async def server_refuses_connections_after_its_start(
+    fleet: simulated_fleet.SimulatedFleet,
+) -> None:
+    """Let a server refuse connections just after the whole fleet's start."""
+    await simulated_fleet.start_all(fleet)
+    await _refuse_for_a_moment(fleet)
+
+
+@pytest.mark.parametrize("server_type", SERVER_TYPES)
+@pytest.mark.parametrize("seed", range(1, 6))
+def test_outage_after_the_start_is_bounded(
+    server_type: type[fake_servers.FakeServer], seed: int
+) -> None:
+    simulated_fleet.run_scenario(
+        server_refuses_connections_after_its_start, seed, server_type
+    )
