Grant keys by command for 1.5 s at most, half a lease

Ruled out: taking the refusal or the new run as proof after all.

Change: a grant by command lasts half a lease at most and is renewed at 0.45 of that; after a start of the process the keys of another run wait for that time. Orders in responses to reports keep the time of the lease, so that a lost report doesn't end them.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/reconciler.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/reconciler.py
@@ -62,7 +62,7 @@
 
 RENEW_BELOW_SHARE: typing.Final = 0.45
 """A grant is renewed once its remaining time is less than this share of the
-lease time."""
+longest time of a grant."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -713,10 +713,11 @@
         times = self.settings.times
         if not self._is_free(key_range, now):
             return
-        hold_s = self.lease.grant_duration_s(now, self.settings.max_hold_s)
+        longest_hold_s = min(self.settings.max_hold_s, times.command_hold_s)
+        hold_s = self.lease.grant_duration_s(now, longest_hold_s)
         if (
             current is not None
-            and current.until - now > RENEW_BELOW_SHARE * times.lease_s
+            and current.until - now > RENEW_BELOW_SHARE * longest_hold_s
         ):
             return
         if hold_s < MIN_HOLD_S or (
@@ -734,7 +735,7 @@
             return False
         if (
             key_range.token in self.regrant_tokens
-            and now < self.started_at + self.settings.times.wait_s
+            and now < self.started_at + self._longest_wait_s()
         ):
             # An earlier process may have granted them to the earlier run.
             return False
@@ -742,6 +743,15 @@
         wait_ends_at = first_seen_at + self.settings.times.wait_s
         return key_range.released or now >= wait_ends_at
 
+    def _longest_wait_s(self) -> float:
+        """Return the wait after which all grants of an earlier process end."""
+        times = self.settings.times
+        return (
+            times.wait_s
+            if self._takes_grants_by_report()
+            else times.command_wait_s
+        )
+
     async def _grant(
         self, key_range: key_ranges.Range, hold_s: float, now: float
     ) -> None:
