Send no grant after a refusal until the server is heard of again

What was seen: a new run of a server takes keys with the token of the run before it, 8 to 55 ms after its start. By reading of the logs: renewals are refused while the server is down, and the next one after its restart reaches the new run, before its first announcement.

Change: once a command has found no connection, no grant is sent until an announcement has arrived. It shows which run the address has now.

Not covered: a server that restarts between two commands.

--- a/packages/bronzepaddle-backend/src/bronzepaddle_backend/connections.py
+++ b/packages/bronzepaddle-backend/src/bronzepaddle_backend/connections.py
@@ -436,7 +436,7 @@
                 else self._connect(CONNECT_TIMEOUT_S)
             )
         except (OSError, urllib3.exceptions.HTTPError) as error:
-            raise CommandNotSentError(repr(error)) from error
+            raise NotConnectedError(repr(error)) from error
         try:
             body = build_body()
         except CommandNotSentError:
@@ -520,6 +520,10 @@
     """No byte of a command has reached the server."""
 
 
+class NotConnectedError(CommandNotSentError):
+    """No connection to the server could be opened for a command."""
+
+
 class CommandLostError(Exception):
     """A command got no response: it may be executed now, later or never."""
 
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/reconciler.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/reconciler.py
@@ -149,6 +149,8 @@
         self.affected_at: dict[ids.MemberId, float] = {}
         # Per token of an own range, when this process first saw it.
         self.first_seen_at: dict[ids.Token, float] = {}
+        # When a command last found no connection to the server.
+        self.not_connected_at = float("-inf")
         # The tokens of the ranges that were granted to another run of the
         # server since the start.
         self.regrant_tokens: set[ids.Token] = set()
@@ -495,6 +497,8 @@
             for current in self.held.ranges
         }
         for key_range in own_ranges:
+            if not self._announced_since_refusal():
+                return
             if not self._still_owned(key_range):
                 # Reassigned, or another run was announced, since the last
                 # grant was sent.
@@ -504,6 +508,17 @@
                 held.get((key_range.first, key_range.last, key_range.token)),
             )
 
+    def _announced_since_refusal(self) -> bool:
+        """Return whether the server was heard of after it refused a command.
+
+        Until then another run may listen at its address, which must not get
+        the grants of this one.
+        """
+        latest = self.tracker.latest
+        return latest is not None and (
+            latest.received_at > self.not_connected_at
+        )
+
     def on_report(
         self, report: key_reports.KeyReport
     ) -> key_reports.HoldOrder | None:
@@ -691,6 +706,7 @@
             connections.CommandLostError,
         ) as error:
             logs.order_failed("release", first, last, repr(error))
+            self._record_not_connected(error)
             return False
         logs.keys_released(first, last, token, outcome.detail)
         if not self.issued_grants.is_ending(grant, self.held.run):
@@ -777,6 +793,7 @@
             outcome = await commands.grant(grant)
         except connections.CommandNotSentError as error:
             self.issued_grants.held_until = held_until_before
+            self._record_not_connected(error)
             logs.order_failed(
                 "grant", key_range.first, key_range.last, repr(error)
             )
@@ -802,6 +819,11 @@
         if self._still_owned(key_range):
             self._record_grant(key_range, now + hold_s)
 
+    def _record_not_connected(self, error: Exception) -> None:
+        """Record when a command found no connection to the server."""
+        if isinstance(error, connections.NotConnectedError):
+            self.not_connected_at = self.clock.now()
+
     def _record_issued(
         self, key_range: key_ranges.Range, held_until: float
     ) -> None:
--- a/tests/support/fake_servers.py
+++ b/tests/support/fake_servers.py
@@ -273,7 +273,7 @@
         fleet.waiting_to_send.discard(name)
 
     async def _connect(self) -> None:
-        """Reach the server; raises ``CommandNotSentError`` if it refuses."""
+        """Reach the server; raises ``NotConnectedError`` if it refuses."""
         await asyncio.sleep(0.0005)
         if not (self.server.up and self.server.listening):
-            raise connections.CommandNotSentError("refused")
+            raise connections.NotConnectedError("refused")
--- a/tests/test_stale_grants.py
+++ b/tests/test_stale_grants.py
@@ -75,6 +75,36 @@
     await asyncio.sleep(SETTLE_S)
 
 
+RESTART_S: typing.Final = 1.2
+"""Time in which a server restarts: shorter than its grants are renewed for."""
+
+UNANNOUNCED_S: typing.Final = 0.5
+"""Time after a restart until the first announcement of the new run."""
+
+
+async def new_run_listens_before_it_is_announced(
+    fleet: simulated_fleet.SimulatedFleet,
+) -> None:
+    """Restart a server at its address; its announcements take a moment."""
+    await simulated_fleet.start_all(fleet)
+    process, ended = fleet.processes["d"], fleet.servers["d"]
+    ended.up = False
+    await asyncio.sleep(RESTART_S)
+    process.announcements_held_up = True
+    fleet.start_server("d")
+    fleet.addressed_servers[ended.run] = fleet.servers["d"]
+    await asyncio.sleep(UNANNOUNCED_S)
+    taken = {grant.token for grant in fleet.servers["d"].accepted}
+    process.announcements_held_up = False
+    await fleet.wait_until_served(SETTLE_S)
+    assert not taken
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_new_run_gets_no_grant_before_it_is_announced(seed: int) -> None:
+    simulated_fleet.run_scenario(new_run_listens_before_it_is_announced, seed)
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_range_that_has_moved_is_not_granted(seed: int) -> None:
     simulated_fleet.run_scenario(ranges_move_while_a_grant_hangs, seed)
