Move the decisions under load into one folder of the core

Cause: the decisions of one subject (who waits, where a request goes, which keys are hot, what is sent again) lay among modules of other subjects.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -20,7 +20,8 @@
 import random
 import typing
 
-from bronzepaddle import ids, load_balancing, server_queue
+from bronzepaddle import ids
+from bronzepaddle.load import load_balancing, server_queue
 
 ROOT: typing.Final = pathlib.Path(__file__).parent.parent
 RESULTS: typing.Final = ROOT / "bench" / "results" / "decisions.json"
--- a/misc/check_imports.py
+++ b/misc/check_imports.py
@@ -76,7 +76,8 @@
 
 
 def _is_module(package: str, name: str) -> bool:
-    return any(ROOT.glob(f"*/**/src/{package}/{name}.py"))
+    folder = package.replace(".", "/")
+    return any(ROOT.glob(f"*/**/src/{folder}/{name}.py"))
 
 
 if __name__ == "__main__":
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/cell_router.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/cell_router.py
@@ -23,10 +23,10 @@
     http_messages,
     ids,
     logs,
-    retries,
     slot_routing,
     verdicts,
 )
+from bronzepaddle.load import retries
 from bronzepaddle_callers import streaming_app
 from bronzepaddle_peers import forwarding
 
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
@@ -12,16 +12,8 @@
 import concurrent.futures
 import typing
 
-from bronzepaddle import (
-    clocks,
-    http_messages,
-    ids,
-    key_load,
-    logs,
-    server_queue,
-    suspects,
-    verdicts,
-)
+from bronzepaddle import clocks, http_messages, ids, logs, suspects, verdicts
+from bronzepaddle.load import key_load, server_queue
 from bronzepaddle_backend import connections, server_tracker
 from bronzepaddle_peers import pacing, stream_client, stream_messages
 
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/peer_table.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/peer_table.py
@@ -9,7 +9,8 @@
 import collections.abc
 import typing
 
-from bronzepaddle import ids, load_balancing
+from bronzepaddle import ids
+from bronzepaddle.load import load_balancing
 from bronzepaddle_peers import statuses, stream_client
 
 PREFERRED_WITHIN_S: typing.Final = 1.1
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
@@ -25,13 +25,11 @@
     clocks,
     http_messages,
     ids,
-    load_balancing,
     logs,
-    retries,
     route_table,
-    server_queue,
     verdicts,
 )
+from bronzepaddle.load import load_balancing, retries, server_queue
 from bronzepaddle_callers import buffered_app
 from bronzepaddle_peers import stream_client, stream_messages
 
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -25,10 +25,10 @@
     log_writer,
     logs,
     options,
-    retries,
     route_table,
     sidecar_options,
 )
+from bronzepaddle.load import retries
 from bronzepaddle_backend import key_grants, key_reports, server_tracker
 from bronzepaddle_callers import buffered_app, server
 from bronzepaddle_peers import (
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/statuses.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/statuses.py
@@ -16,7 +16,8 @@
 
 import msgspec
 import xxhash
-from bronzepaddle import cells, ids, key_load
+from bronzepaddle import cells, ids
+from bronzepaddle.load import key_load
 
 
 class ServerState(enum.Enum):
--- a/packages/bronzepaddle/src/bronzepaddle/key_assignment.py
+++ b/packages/bronzepaddle/src/bronzepaddle/key_assignment.py
@@ -18,7 +18,8 @@
 import enum
 import typing
 
-from bronzepaddle import ids, key_load, key_ranges, route_table
+from bronzepaddle import ids, key_ranges, route_table
+from bronzepaddle.load import key_load
 
 INITIAL_RANGES: typing.Final = 64
 """Number of equal ranges into which the key space is divided at first."""
--- a/tests/test_key_load.py
+++ b/tests/test_key_load.py
@@ -4,7 +4,8 @@
 
 import pytest
 import test_key_ranges
-from bronzepaddle import key_assignment, key_load, key_ranges
+from bronzepaddle import key_assignment, key_ranges
+from bronzepaddle.load import key_load
 
 
 def member(
--- a/tests/test_load_balancing.py
+++ b/tests/test_load_balancing.py
@@ -5,7 +5,8 @@
 import random
 import typing
 
-from bronzepaddle import ids, load_balancing
+from bronzepaddle import ids
+from bronzepaddle.load import load_balancing
 
 MEASURED: typing.Final = load_balancing.Candidate(
     ids.MemberId("known"), 9, 0, 0.004, cold=False, same_zone=True
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -5,7 +5,8 @@
 import msgspec
 import pytest
 import test_key_ranges
-from bronzepaddle import ids, key_load, key_ranges
+from bronzepaddle import ids, key_ranges
+from bronzepaddle.load import key_load
 from bronzepaddle_node import peer_table, planning
 from bronzepaddle_peers import statuses
 from support import sample_status
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -3,7 +3,8 @@
 import dataclasses
 
 import pytest
-from bronzepaddle import ids, retries, verdicts
+from bronzepaddle import ids, verdicts
+from bronzepaddle.load import retries
 
 NOT_OWNER = retries.AttemptResult(
     verdicts.Verdict.NOT_RUN,
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -6,14 +6,8 @@
 import typing
 
 import pytest
-from bronzepaddle import (
-    clocks,
-    http_messages,
-    ids,
-    retries,
-    route_table,
-    verdicts,
-)
+from bronzepaddle import clocks, http_messages, ids, route_table, verdicts
+from bronzepaddle.load import retries
 from bronzepaddle_callers import buffered_app
 from bronzepaddle_node import peer_table, process_end, router
 
--- a/tests/test_server_queue.py
+++ b/tests/test_server_queue.py
@@ -5,7 +5,7 @@
 import random
 import typing
 
-from bronzepaddle import server_queue
+from bronzepaddle.load import server_queue
 
 SLOTS: typing.Final = 9
 SERVICE_S: typing.Final = 0.09
--- a/tests/test_status_broadcast.py
+++ b/tests/test_status_broadcast.py
@@ -7,7 +7,8 @@
 
 import msgspec
 import pytest
-from bronzepaddle import cells, ids, key_load
+from bronzepaddle import cells, ids
+from bronzepaddle.load import key_load
 from bronzepaddle_node import peer_table, status_broadcast
 from bronzepaddle_peers import datagrams, statuses
 from bronzepaddle_store import store
