Part the reconciler by job: view and lease, grants, and their loop

Change: keys/ownership_view (latest version, lease, reads and writes), keys/server_grants (grants until they end), reconciler (the loop). Methods are moved as they are; broken builds patch the class that now has the method.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -62,6 +62,7 @@
     status_broadcast,
     tasks,
 )
+from bronzepaddle_node.keys import member_settings
 
 CONTROL_THREADS: typing.Final = 3
 READY_THREADS: typing.Final = 2
@@ -217,7 +218,7 @@
     def _build_reconciler(self) -> reconciler.OwnershipReconciler:
         settings = self.settings
         return reconciler.OwnershipReconciler(
-            reconciler.Settings(
+            member_settings.MemberSettings(
                 settings.name,
                 self.incarnation,
                 settings.service,
@@ -262,7 +263,7 @@
             stream_service.RequestHandlers(
                 self.local_backend.handle_from_peer,
                 self.configuration.on_pull,
-                self.reconciler.on_pull,
+                self.reconciler.view.on_pull,
                 self.broadcaster.current_status,
             ),
             self.pacer,
@@ -454,7 +455,7 @@
         """
         now = self.clock.now()
         self.local_backend.key_load.decay(now)
-        self.reconciler.record_status_sent(sequence)
+        self.reconciler.view.record_status_sent(sequence)
         slack = self.settings.retry_slack * DIVIDED_RETRY_SHARE
         processes = max(1, len(self.peer_table.peers))
         self.retry_budgets.max_budget = max(
@@ -496,13 +497,13 @@
             service_s=self.local_backend.mean_service_s(),
             warmup_left_s=warmup_left_s,
             table_version=self.configuration.version,
-            ownership_version=self.reconciler.version,
+            ownership_version=self.reconciler.view.version,
             held=self.held_keys.status_ranges(now),
             request_rate=self.local_backend.key_load.rate(),
             hot_keys=self.local_backend.key_load.hottest(),
-            read=self.reconciler.last_read,
+            read=self.reconciler.view.last_read,
             suspects=self.crash_detector.recent_changes(),
-            affected_members=self.reconciler.affected_members(),
+            affected_members=self.reconciler.view.affected_members(),
         )
 
     def _runtime_snapshot(self) -> runtime_stats.Snapshot:
@@ -536,12 +537,12 @@
             waiting=queue.waiting,
             running=queue.running,
             retries_left=dict(self.retry_budgets.remaining),
-            lease_left_s=self.reconciler.lease.remaining_s(now),
+            lease_left_s=self.reconciler.view.lease.remaining_s(now),
             keys_held=self.held_keys.size(now),
             unheld_s=self.reconciler.unheld_s,
             ranges_moved=self.reconciler.planner.ranges_moved,
             config_version=self.configuration.version,
-            ownership_version=self.reconciler.version,
+            ownership_version=self.reconciler.view.version,
             peers_alive=len(status_ages_s),
             oldest_status_s=max(status_ages_s, default=0.0),
             lines_dropped=dropped,
--- a/tests/integration/test_sidecar.py
+++ b/tests/integration/test_sidecar.py
@@ -386,7 +386,7 @@
     assert tokens == {held.token for held in process.held_keys.ranges}
     assert not any(
         released.token in tokens
-        for released in process.reconciler.released_grants
+        for released in process.reconciler.grants.released_grants
     )
     sequence = server.sequence
     # The odd report had a sequence number 1000 above that of the server then.
--- a/tests/support/broken_reconcilers.py
+++ b/tests/support/broken_reconcilers.py
@@ -12,6 +12,7 @@
 from bronzepaddle import ids, key_ranges, store_leases
 from bronzepaddle_backend import connections, key_grants, key_reports
 from bronzepaddle_node import issued_grants, reconciler, reported_grants
+from bronzepaddle_node.keys import server_grants
 from bronzepaddle_peers import statuses
 
 _Patches: typing.TypeAlias = list[typing.Any]
@@ -56,7 +57,7 @@
     never = property(lambda self: float("-inf"), lambda self, _value: None)
     return [
         unittest.mock.patch.object(
-            reconciler.OwnershipReconciler,
+            server_grants.ServerGrants,
             "uncertain_until",
             never,
             create=True,
@@ -139,17 +140,15 @@
 
 def _forgetful_restart() -> _Patches:
     """Assume that no grant of an earlier run of the process is in transit."""
-    original = reconciler.OwnershipReconciler.__init__
+    original = server_grants.ServerGrants.__init__
 
-    def init(
-        self: reconciler.OwnershipReconciler, *arguments: typing.Any
-    ) -> None:
+    def init(self: server_grants.ServerGrants, *arguments: typing.Any) -> None:
         original(self, *arguments)
         self.uncertain_until = float("-inf")
 
     return [
         unittest.mock.patch.object(
-            reconciler.OwnershipReconciler, "__init__", init
+            server_grants.ServerGrants, "__init__", init
         )
     ]
 
@@ -165,8 +164,8 @@
         self: reconciler.OwnershipReconciler, status: statuses.Status
     ) -> None:
         original(self, status)
-        if status.read and status.read.version == self.version:
-            self.lease.renew(self.clock.now())
+        if status.read and status.read.version == self.view.version:
+            self.view.lease.renew(self.clock.now())
 
     original = reconciler.OwnershipReconciler.on_status
     return [
@@ -256,7 +255,7 @@
     """Take a release that the server refuses for a release it has made."""
 
     async def try_release(
-        self: reconciler.OwnershipReconciler, grant: issued_grants.IssuedGrant
+        self: server_grants.ServerGrants, grant: issued_grants.IssuedGrant
     ) -> bool:
         commands = self.get_commands()
         if commands is None:
@@ -273,17 +272,17 @@
 
     return [
         unittest.mock.patch.object(
-            reconciler.OwnershipReconciler, "_try_release", try_release
+            server_grants.ServerGrants, "_try_release", try_release
         )
     ]
 
 
 def _new_run_ends_grant() -> _Patches:
     """Record all grants to a run as released once another is announced."""
-    original = reconciler.OwnershipReconciler._apply
+    original = server_grants.ServerGrants.apply
 
     def apply(
-        self: reconciler.OwnershipReconciler,
+        self: server_grants.ServerGrants,
         ownership: key_ranges.Ownership,
         run: str,
     ) -> list[key_ranges.Range]:
@@ -304,9 +303,7 @@
         return original(self, ownership, run)
 
     return [
-        unittest.mock.patch.object(
-            reconciler.OwnershipReconciler, "_apply", apply
-        )
+        unittest.mock.patch.object(server_grants.ServerGrants, "apply", apply)
     ]
 
 
@@ -328,7 +325,7 @@
     """Keep the release of a grant on record while the grant is made again."""
 
     def record_issued(
-        self: reconciler.OwnershipReconciler,
+        self: server_grants.ServerGrants,
         key_range: key_ranges.Range,
         held_until: float,
     ) -> None:
@@ -336,7 +333,7 @@
 
     return [
         unittest.mock.patch.object(
-            reconciler.OwnershipReconciler, "_record_issued", record_issued
+            server_grants.ServerGrants, "_record_issued", record_issued
         )
     ]
 
--- a/tests/support/simulated_fleet.py
+++ b/tests/support/simulated_fleet.py
@@ -20,6 +20,7 @@
 from bronzepaddle import cells, ids, key_ranges, route_table, store_leases
 from bronzepaddle_backend import key_grants, key_reports, server_tracker
 from bronzepaddle_node import held_keys, peer_table, reconciler, tasks
+from bronzepaddle_node.keys import member_settings
 from bronzepaddle_peers import statuses, stream_client
 
 from support import fake_servers, simulated_cell, simulated_time
@@ -79,7 +80,7 @@
         self.peer_table = peer_table.PeerTable(self.name, ids.ZoneName("zone"))
         self.tasks = tasks.Tasks()
         self.reconciler = reconciler.OwnershipReconciler(
-            reconciler.Settings(
+            member_settings.MemberSettings(
                 self.name,
                 ids.Incarnation(str(started_ms)),
                 SERVICE,
@@ -135,7 +136,7 @@
         link_cut = frozenset((self.name, address.host)) in self.fleet.cut_links
         if peer is None or link_cut or not peer.clock.running.is_set():
             raise TimeoutError
-        return peer.reconciler.on_pull(request)
+        return peer.reconciler.view.on_pull(request)
 
     async def _announce(self) -> None:
         while True:
@@ -239,7 +240,7 @@
     def send_status(self) -> None:
         """Send the current status to the other members."""
         self.status_sequence += 1
-        self.reconciler.record_status_sent(self.status_sequence)
+        self.reconciler.view.record_status_sent(self.status_sequence)
         self.fleet.deliver(self._status(self.status_sequence))
 
     def _status(self, sequence: int) -> statuses.Status:
@@ -265,10 +266,10 @@
             service_s=0.0,
             warmup_left_s=0.0,
             table_version=ids.BundleVersion(1),
-            ownership_version=self.reconciler.version,
+            ownership_version=self.reconciler.view.version,
             held=self.held.status_ranges(now),
-            read=self.reconciler.last_read,
-            affected_members=self.reconciler.affected_members(),
+            read=self.reconciler.view.last_read,
+            affected_members=self.reconciler.view.affected_members(),
         )
 
     def receive_status(self, status: statuses.Status) -> None:
--- a/tests/test_stale_grants.py
+++ b/tests/test_stale_grants.py
@@ -59,7 +59,7 @@
         ],
     )
     assert after is not None
-    assert await fleet.processes[new_owner].reconciler._write(after)
+    assert await fleet.processes[new_owner].reconciler.view.write(after)
 
 
 async def process_restarts_beside_two_runs_of_its_server(
--- a/tests/test_store_leases.py
+++ b/tests/test_store_leases.py
@@ -85,7 +85,7 @@
             else key_range
             for key_range in before.ranges
         )
-        await writer._write(msgspec.structs.replace(before, ranges=ranges))
+        await writer.view.write(msgspec.structs.replace(before, ranges=ranges))
         await asyncio.sleep(0.1)
     written = fleet.store_server.writes - writes
     assert written >= 15
