Take uploads, and name a configuration that is refused

Change: uploads are a kind of route, never repeated. The rates of cold servers are read. A refused version is named with place and reason in the answer of the readiness address, in a metric, a log line and by 'bronzepaddle readiness'. Weighed: taking the rest of such a version would put it in force by half, and reading an unknown kind as one that is never repeated would let malformed versions in, which have to be rejected whole.

--- a/bench/logcost.py
+++ b/bench/logcost.py
@@ -35,6 +35,7 @@
     0.0,
     0,
     0,
+    False,
     0,
     0,
     0.0,
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/configuration.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/configuration.py
@@ -75,6 +75,8 @@
         self.fleet_size = fleet_size
         self.rng = rng
         self.route_table: route_table.Table | None = None
+        # The error of the newest document, if that is invalid.
+        self.refused: route_table.InvalidConfigError | None = None
         self.document = b""
         # The version of the object in the store, as last read.
         self.stored_version = ids.NO_VERSION
@@ -93,22 +95,30 @@
     def adopt(self, document: bytes, source: str) -> None:
         """Put a document into effect if it is valid and newer.
 
-        An invalid document is only logged.  ``source`` says in the log where
-        the document comes from.
+        An invalid document is refused as a whole: the version before it stays
+        in effect.  ``source`` says in the log where the document comes from.
         """
         try:
             table = self.decode(document)
         except route_table.InvalidConfigError as error:
-            logs.bad_document(self.object_name, str(error))
+            self._refuse(error)
             return
         if table.version <= self.version:
             return
+        if self.refused and (self.refused.version or 0) < table.version:
+            self.refused = None
         self.route_table = table
         self.document = document
         for listener in self.listeners:
             listener(table)
         logs.in_force(table.version, source)
 
+    def _refuse(self, error: route_table.InvalidConfigError) -> None:
+        """Log an invalid document, and keep its error if it is the newest."""
+        logs.config_refused(error.version, error.problem, self.version)
+        if error.version is None or error.version > self.version:
+            self.refused = error
+
     async def run(self) -> None:
         """Read and watch the object in the store until cancelled."""
         while True:
@@ -129,6 +139,7 @@
                     await self.clock.sleep(RETRY_S)
                 continue
             self.stored_version = stored.version
+            self.refused = None
             self.adopt(stored.body, "store")
 
     async def _read_or_watch(self) -> store.StoredObject | None:
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -27,6 +27,7 @@
     options,
     route_table,
     sidecar_options,
+    status,
 )
 from bronzepaddle.load import retries
 from bronzepaddle_backend import key_grants, key_reports, server_tracker
@@ -294,7 +295,9 @@
             CONTROL_THREADS,
         )
         self.readiness_server = self._http_server(
-            registry.Readiness(self._ready), settings.ready, READY_THREADS
+            registry.Readiness(self._readiness),
+            settings.ready,
+            READY_THREADS,
         )
         self.http_servers = [
             self.control_server,
@@ -350,9 +353,19 @@
         limits = route_table.Limits() if table is None else table.limits
         return limits.max_body_bytes
 
-    def _ready(self) -> bool:
+    def _readiness(self) -> status.Readiness:
         """Return whether the process accepts callers' requests."""
-        return self.configuration.route_table is not None and not self.leaving
+        configured = self.configuration.route_table is not None
+        refused = self.configuration.refused
+        return status.Readiness(
+            configured and not self.leaving,
+            self.configuration.version,
+            None
+            if refused is None
+            else status.RefusedConfig(
+                refused.version, refused.problem.place, refused.problem.reason
+            ),
+        )
 
     # Events.
 
@@ -542,6 +555,7 @@
             unheld_s=self.reconciler.unheld_s,
             ranges_moved=self.reconciler.planner.ranges_moved,
             config_version=self.configuration.version,
+            config_refused=self.configuration.refused is not None,
             ownership_version=self.reconciler.view.version,
             peers_alive=len(status_ages_s),
             oldest_status_s=max(status_ages_s, default=0.0),
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar_metrics.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar_metrics.py
@@ -42,6 +42,9 @@
     server and at the server.  ``retries_left`` is the rest of the retry
     budget of each service.
 
+    ``config_refused`` is set while a configuration newer than the one in
+    effect has been refused as invalid.
+
     ``unheld_s`` is the time for which keys assigned to this process were not
     held by its backend server, multiplied by their share of all keys.
     ``ranges_moved`` counts the key ranges that this process has moved while
@@ -61,6 +64,7 @@
     unheld_s: float
     ranges_moved: int
     config_version: int
+    config_refused: bool
     ownership_version: int
     peers_alive: int
     oldest_status_s: float
@@ -214,6 +218,7 @@
     ("bronzepaddle.lease.left", "s", _observe_field("lease_left_s")),
     ("bronzepaddle.keys.held", "", _observe_field("keys_held")),
     ("bronzepaddle.config.version", "", _observe_field("config_version")),
+    ("bronzepaddle.config.refused", "", _observe_field("config_refused")),
     (
         "bronzepaddle.ownership.version",
         "",
--- a/packages/bronzepaddle-operators/src/bronzepaddle_operators/cli.py
+++ b/packages/bronzepaddle-operators/src/bronzepaddle_operators/cli.py
@@ -91,6 +91,30 @@
     return msgspec.json.decode(body, type=status_messages.Status)
 
 
+@main.command()
+@click.argument("address")
+def readiness(address: str) -> None:
+    """Show whether a process accepts requests, and its configuration.
+
+    ADDRESS is HOST:PORT of the readiness checks.
+    """
+    url = f"http://{address}/bronzepaddle/readiness"
+    reply = msgspec.json.decode(
+        _call("GET", address, url).data, type=status_messages.Readiness
+    )
+    click.echo(
+        f"{'ready' if reply.ready else 'not ready'}, "
+        f"configuration {reply.config_version:08x}"
+    )
+    if reply.refused is not None:
+        version = reply.refused.version
+        name = "of unknown version" if version is None else f"{version:08x}"
+        click.echo(
+            f"configuration {name} was refused: "
+            f"{reply.refused.place}: {reply.refused.reason}"
+        )
+
+
 @main.command()
 @_process_option
 def drain(process: str) -> None:
@@ -188,15 +212,22 @@
     if the call fails.
     """
     url = f"http://{process}/bronzepaddle/{command}"
+    response = _call(method, process, url, fields)
+    if response.status >= 400:
+        raise click.ClickException(f"{process}: HTTP {response.status}")
+    return response.data.decode()
+
+
+def _call(
+    method: str, process: str, url: str, fields: dict[str, str] | None = None
+) -> urllib3.BaseHTTPResponse:
+    """Make a call; raises ``click.ClickException`` without a response."""
     try:
-        response = urllib3.request(
+        return urllib3.request(
             method, url, fields=fields, timeout=TIMEOUT_S, retries=False
         )
     except urllib3.exceptions.HTTPError as error:
         raise click.ClickException(f"{process}: {error}") from error
-    if response.status >= 400:
-        raise click.ClickException(f"{process}: HTTP {response.status}")
-    return response.data.decode()
 
 
 _add_commands()
--- a/packages/bronzepaddle/src/bronzepaddle/logs.py
+++ b/packages/bronzepaddle/src/bronzepaddle/logs.py
@@ -11,7 +11,14 @@
 
 import eliot
 
-from bronzepaddle import cells, http_messages, ids, key_ranges, verdicts
+from bronzepaddle import (
+    cells,
+    http_messages,
+    ids,
+    key_ranges,
+    route_table,
+    verdicts,
+)
 
 
 def routing(
@@ -418,6 +425,25 @@
     )
 
 
+def config_refused(
+    version: ids.BundleVersion | None,
+    problem: route_table.ConfigProblem,
+    in_force: ids.BundleVersion,
+) -> None:
+    """Log an invalid configuration, of which nothing takes effect.
+
+    ``version`` is None if it can't be read.  The version ``in_force`` stays in
+    effect; it is 0 if there is none.
+    """
+    eliot.log_message(
+        message_type="config-refused",
+        version=version,
+        place=problem.place,
+        reason=problem.reason,
+        in_force=in_force,
+    )
+
+
 def in_force(version: ids.BundleVersion, source: str) -> None:
     """Log the configuration that is in effect from now on."""
     eliot.log_message(message_type="in-force", version=version, source=source)
--- a/packages/bronzepaddle/src/bronzepaddle/route_table.py
+++ b/packages/bronzepaddle/src/bronzepaddle/route_table.py
@@ -17,11 +17,13 @@
     """Whether requests of a route may be repeated.
 
     ``DOWNLOAD`` requests are idempotent and have large responses.
+    ``UPLOAD`` requests are not idempotent and have large bodies.
     """
 
     IDEMPOTENT = "idempotent"
     NOT_IDEMPOTENT = "not-idempotent"
     DOWNLOAD = "download"
+    UPLOAD = "upload"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -55,7 +57,7 @@
     @property
     def idempotent(self) -> bool:
         """Return whether a request may run more than once."""
-        return self.kind is not RouteKind.NOT_IDEMPOTENT
+        return self.kind in (RouteKind.IDEMPOTENT, RouteKind.DOWNLOAD)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -64,7 +66,9 @@
 
     ``keyed`` services have exclusive owners of their keys.  A server accepts
     ``max_connections`` from all clients together.  Keys that a server took
-    over without a handover are slow for ``warm_s``.
+    over without a handover are slow for ``warm_s``.  A server is cold for
+    ``cold_s`` after its start and then takes ``cold_per_s`` requests per
+    second; 0 if it takes as many as a warm one.
     """
 
     name: ids.ServiceName
@@ -72,6 +76,8 @@
     max_connections: int
     health_path: str
     warm_s: float = 0.0
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -168,5 +174,26 @@
 """Size of the numeric key space of a keyed service; keys start at 0."""
 
 
+@dataclasses.dataclass(frozen=True)
+class ConfigProblem:
+    """What is wrong with a configuration document, and in which place."""
+
+    place: str
+    reason: str
+
+    def __str__(self) -> str:
+        return f"{self.place}: {self.reason}"
+
+
 class InvalidConfigError(ValueError):
-    """A configuration document is invalid; the message says where."""
+    """A configuration document is invalid.
+
+    ``version`` is that of the document, None if it can't be read.
+    """
+
+    def __init__(
+        self, problem: ConfigProblem, version: ids.BundleVersion | None
+    ) -> None:
+        super().__init__(str(problem))
+        self.problem = problem
+        self.version = version
--- a/packages/bronzepaddle/src/bronzepaddle/status.py
+++ b/packages/bronzepaddle/src/bronzepaddle/status.py
@@ -1,4 +1,4 @@
-"""Responses of a process's control port to operators.
+"""Responses of a process to operators.
 
 The process encodes these structs as JSON and the command line decodes them,
 so both use the same fields.
@@ -46,6 +46,29 @@
     members: dict[ids.MemberId, MemberStatus]
 
 
+class RefusedConfig(msgspec.Struct, frozen=True):
+    """A configuration version of which nothing has taken effect, and why.
+
+    ``version`` is None if it can't be read.
+    """
+
+    version: ids.BundleVersion | None
+    place: str
+    reason: str
+
+
+class Readiness(msgspec.Struct, frozen=True):
+    """Whether a process accepts callers' requests, and its configuration.
+
+    ``config_version`` is the version in effect, 0 if there is none.
+    ``refused`` is a newer version that the process could not take.
+    """
+
+    ready: bool
+    config_version: ids.BundleVersion
+    refused: RefusedConfig | None = None
+
+
 class KeyExplanation(msgspec.Struct, frozen=True):
     """Where a request for a key would be routed now, and why.
 
--- a/tests/integration/test_sidecar.py
+++ b/tests/integration/test_sidecar.py
@@ -13,12 +13,14 @@
 import time
 import typing
 
+import click.testing
 import msgspec
 import pytest
 import returns.result
 import urllib3
 from bronzepaddle import sidecar_options
 from bronzepaddle_node import process_end, sidecar
+from bronzepaddle_operators import cli
 from support import local_addresses, odd_json
 
 from integration import platform_standins
@@ -223,6 +225,16 @@
         running.stop()
 
 
+def readiness(fleet: Fleet, name: str) -> str:
+    """Return what the operators' command says of a sidecar."""
+    address = fleet.sidecars[name].settings.ready
+    result = click.testing.CliRunner().invoke(
+        cli.main, ["readiness", f"{address.host}:{address.port}"]
+    )
+    assert result.exit_code == 0, result.output
+    return result.output
+
+
 def request_description(
     response: urllib3.BaseHTTPResponse,
 ) -> dict[str, typing.Any]:
@@ -319,6 +331,35 @@
         )
 
 
+def test_refused_configuration_is_named_to_operators(fleet: Fleet) -> None:
+    """A version with an unknown kind of route changes nothing, and is named.
+
+    Guards against a fleet that keeps an outdated configuration, or stays not
+    ready, while only a line in a log tells why.
+    """
+    odd_route = route("/odd/", "plain", "batch")
+    fleet.store.put("config", "main", config(5, odd_route))
+    refused = (
+        "ready, configuration 00000002\n"
+        "configuration 00000005 was refused: "
+        "route odd: unknown route_type batch\n"
+    )
+    for name in fleet.sidecars:
+        fleet.wait_until(
+            lambda name=name: readiness(fleet, name) == refused,  # type: ignore[misc]
+            f"{name} names the refused configuration",
+        )
+    assert fleet.send("one", "/new/a").status == 200
+    fleet.store.put("config", "main", config(6, route("/new/", "plain")))
+    for name in fleet.sidecars:
+        fleet.wait_until(
+            lambda name=name: (  # type: ignore[misc]
+                readiness(fleet, name) == "ready, configuration 00000006\n"
+            ),
+            f"{name} has the next configuration",
+        )
+
+
 @pytest.mark.parametrize("port", ["0", "65536", "-1", "9" * 40])
 def test_odd_announcement_changes_nothing(fleet: Fleet, port: str) -> None:
     """Another writer announces the server with an unusable address.
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -127,6 +127,51 @@
     assert table.limits.max_body_bytes == 1000
 
 
+def test_uploads_are_not_idempotent() -> None:
+    """Guards against uploads that are repeated, or that aren't known at all.
+
+    One route of an unknown kind kept all others from being served.
+    """
+    document = changed_document(CONFIG, "routes/1/route_type", "upload")
+    upload = config.decode(document).routes[1]
+    assert upload.kind is route_table.RouteKind.UPLOAD
+    assert not upload.idempotent
+
+
+def test_rates_of_cold_servers_are_decoded() -> None:
+    cold = {"name": "shop", "cold_start_s": 3.0, "cold_per_s": 4.9}
+    document = msgspec.json.encode(
+        {**CONFIG, "services": [cold, {"name": "store"}]}
+    )
+    shop = config.decode(document).services[ids.ServiceName("shop")]
+    assert (shop.cold_s, shop.cold_per_s) == (3.0, 4.9)
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "place", "reason"),
+    [
+        ("routes/1/route_type", "batch", "route r-2", "batch"),
+        ("routes/0/timeout_ms", "long", "routes[0].timeout_ms", "`str`"),
+        ("routes/0/service", "nobody", "route r-1", "nobody"),
+        ("services", 5, "services", "`int`"),
+    ],
+)
+def test_error_names_version_place_and_reason(
+    path: str, value: object, place: str, reason: str
+) -> None:
+    with pytest.raises(route_table.InvalidConfigError) as raised:
+        config.decode(changed_document(CONFIG, path, value))
+    assert raised.value.version == 0x1F
+    assert raised.value.problem.place == place
+    assert reason in raised.value.problem.reason
+
+
+def test_error_of_an_undecodable_document_has_no_version() -> None:
+    with pytest.raises(route_table.InvalidConfigError) as raised:
+        config.decode(msgspec.json.encode(CONFIG)[:-9])
+    assert raised.value.version is None
+
+
 @pytest.mark.parametrize(
     ("path", "value"),
     [
--- a/tests/test_sidecar_metrics.py
+++ b/tests/test_sidecar_metrics.py
@@ -20,6 +20,7 @@
     unheld_s=0.25,
     ranges_moved=3,
     config_version=4,
+    config_refused=True,
     ownership_version=5,
     peers_alive=6,
     oldest_status_s=0.2,
