--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/statuses.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/statuses.py
@@ -68,6 +68,14 @@
     heard: tuple[LastReceived, ...]
 
 
+class Evacuations(msgspec.Struct, frozen=True, array_like=True):
+    """The evacuated zones as of a revision of the store in one of its eras."""
+
+    era: int
+    revision: int
+    zones: tuple[ids.ZoneName, ...]
+
+
 class SuspectReport(msgspec.Struct, frozen=True, array_like=True):
     """The number of backend server crashes while a request was in flight.
 
@@ -114,6 +122,14 @@
     ``suspects`` lists recent changes to the sender's list of suspects.
     ``interval_s`` is the longest interval between two statuses to the same
     receiver.
+
+    Load: ``backlog_s`` is the expected time until a request that arrives now
+    would start, ``starts_per_s`` the number of requests per second that the
+    backend server can take while it is cold, 0 if it is not.
+
+    ``store_era`` is the era of the store to which ``ownership_version``
+    belongs.  ``evacuations`` are the zones whose servers must get no requests,
+    as last read, None if the sender doesn't know them.
     """
 
     sender: ids.MemberId
@@ -140,6 +156,10 @@
     follows: int = 0
     affected_members: tuple[ids.MemberId, ...] = ()
     interval_s: float = DEFAULT_INTERVAL_S
+    backlog_s: float = 0.0
+    starts_per_s: float = 0.0
+    store_era: int = 0
+    evacuations: Evacuations | None = None
 
 
 NO_SERVER_RUN: typing.Final = ""
