Empty the servers of an evacuated zone

Change: five processes watch the entries, statuses carry them to all, and each process of the zone treats its server as draining until the first report after the zone is taken back.

--- a/packages/bronzepaddle-backend/src/bronzepaddle_backend/server_tracker.py
+++ b/packages/bronzepaddle-backend/src/bronzepaddle_backend/server_tracker.py
@@ -75,12 +75,18 @@
     ``interval_s`` is the interval between announcements.  ``unreachable`` is
     set by the user of the tracker when the server refuses connections; it
     gets no new requests then, but may still hold its keys.
+    ``evacuated_since`` is the time since which its availability zone is
+    evacuated, None if it isn't; the server counts as draining then.
     """
 
     def __init__(self, interval_s: float) -> None:
         self.interval_s = interval_s
         self.latest: RunState | None = None
         self.unreachable = False
+        self.evacuated_since: float | None = None
+        # Whether the evacuation has ended: it lasts until the next
+        # announcement, since the server may have become cold meanwhile.
+        self.evacuation_ended = False
         # Id of a server whose leaving was recorded before any announcement.
         self.leaving_id = ""
 
@@ -105,8 +111,29 @@
             draining_since = now if previous_since is None else previous_since
         self.latest = RunState(announcement, now, leaving, draining_since)
         self.unreachable = False
+        if self.evacuation_ended:
+            self.evacuated_since = None
         return True
 
+    def evacuate(self, now: float) -> None:
+        """Record that the zone of the server is evacuated."""
+        self.evacuation_ended = False
+        if self.evacuated_since is None:
+            self.evacuated_since = now
+
+    def end_evacuation(self) -> None:
+        """Let the evacuation end with the next announcement."""
+        self.evacuation_ended = True
+
+    def draining_since(self) -> float | None:
+        """Return the time since which the server drains, or None.
+
+        It drains when it has announced that, or when its zone is evacuated.
+        """
+        announced = None if self.latest is None else self.latest.draining_since
+        times = (announced, self.evacuated_since)
+        return min((at for at in times if at is not None), default=None)
+
     def _supersedes(
         self, recorded: RunState, announcement: Announcement, now: float
     ) -> bool:
@@ -161,7 +188,4 @@
 
     def ready(self, now: float) -> bool:
         """Return whether the server accepts new requests."""
-        recorded = self.latest
-        if recorded is None or recorded.draining_since is not None:
-            return False
-        return self.present(now)
+        return self.draining_since() is None and self.present(now)
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
@@ -382,8 +382,7 @@
             or announcement.run != request.run
         ):
             return verdicts.Reason.NO_BACKEND
-        latest = self.tracker.latest
-        draining_since = None if latest is None else latest.draining_since
+        draining_since = self.tracker.draining_since()
         if request.key >= 0:
             # No other server has the key until it has been moved.
             drain_grace_s = DRAIN_GRACE_S
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -63,6 +63,7 @@
     status_broadcast,
     tasks,
 )
+from bronzepaddle_node.fleet import evacuations
 from bronzepaddle_node.keys import member_settings
 
 CONTROL_THREADS: typing.Final = 3
@@ -198,9 +199,12 @@
             random.Random(),
         )
         self.reconciler = self._build_reconciler()
+        self.evacuations = self._build_evacuations()
         self.broadcaster.listeners.extend(
             (self.configuration.on_status, self._on_status)
         )
+        if self.evacuations is not None:
+            self.broadcaster.listeners.append(self.evacuations.on_status)
         self.runtime_stats = runtime_stats.RuntimeStats(
             self._runtime_snapshot, self.clock
         )
@@ -213,6 +217,8 @@
         start(
             self.reconciler.run(lambda: self.configuration.route_table), "keys"
         )
+        if self.evacuations is not None:
+            start(self.evacuations.run(), "evacuations")
         start(self.runtime_stats.run(), "runtime stats")
         logs.process("started", settings.name)
 
@@ -238,6 +244,22 @@
             self.clock,
         )
 
+    def _build_evacuations(self) -> evacuations.Evacuations | None:
+        """Return the evacuated zones, None if the operator evacuates none."""
+        settings = self.settings
+        if settings.evacuate_within_s is None:
+            return None
+        return evacuations.Evacuations(
+            settings.zone,
+            self.store,
+            self.peer_table,
+            self.tracker,
+            self._on_evacuation,
+            settings.evacuate_within_s,
+            self.clock,
+            random.Random(),
+        )
+
     def _grant_commands(self) -> key_grants.KeyGrantCommands | None:
         """Return the commands to the current run of the backend server.
 
@@ -406,20 +428,24 @@
                 f"of service {announcement.service}",
             )
             return key_reports.Reply(accepted=False)
+        now = self.clock.now()
         previous = self.tracker.latest
-        if not self.tracker.record(announcement, self.clock.now()):
+        was_ready = self.tracker.ready(now)
+        if not self.tracker.record(announcement, now):
             return key_reports.Reply(accepted=True)
         self.local_backend.on_announcement(announcement)
-        if previous is None or (
+        changed = previous is None or (
             previous.announcement.run,
             previous.announcement.state,
         ) != (
             announcement.run,
             announcement.state,
-        ):
+        )
+        if changed:
             logs.server(
                 "announced", announcement.run, announcement.state.value
             )
+        if changed or was_ready != self.tracker.ready(now):
             self.broadcaster.broadcast_soon()
             self.reconciler.wakeup.set()
         if announcement.keys is None:
@@ -454,6 +480,11 @@
         if status.service == self.settings.service:
             self.reconciler.on_status(status)
 
+    def _on_evacuation(self) -> None:
+        """Tell the peers of the zones, and act on that of this VM."""
+        self.broadcaster.broadcast_soon()
+        self.reconciler.wakeup.set()
+
     def _on_table(self, table: route_table.Table) -> None:
         """Apply a new table's idle timeout and broadcast its version."""
         self.caller_server.cheroot_server.timeout = table.limits.idle_timeout_s
@@ -517,6 +548,11 @@
             read=self.reconciler.view.last_read,
             suspects=self.crash_detector.recent_changes(),
             affected_members=self.reconciler.view.affected_members(),
+            evacuations=(
+                None
+                if self.evacuations is None
+                else self.evacuations.reported()
+            ),
         )
 
     def _runtime_snapshot(self) -> runtime_stats.Snapshot:
@@ -556,6 +592,7 @@
             ranges_moved=self.reconciler.planner.ranges_moved,
             config_version=self.configuration.version,
             config_refused=self.configuration.refused is not None,
+            zones_evacuated=self._zones_evacuated(),
             ownership_version=self.reconciler.view.version,
             peers_alive=len(status_ages_s),
             oldest_status_s=max(status_ages_s, default=0.0),
@@ -564,6 +601,11 @@
             snapshot=self._runtime_snapshot(),
         )
 
+    def _zones_evacuated(self) -> int:
+        """Return the number of zones that are known to be evacuated."""
+        known = self.evacuations and self.evacuations.known
+        return len(known.zones) if known else 0
+
     def reconfigure(self, settings: sidecar_options.SidecarOptions) -> None:
         """Apply the settings that can change at run time.
 
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar_metrics.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar_metrics.py
@@ -43,7 +43,8 @@
     budget of each service.
 
     ``config_refused`` is set while a configuration newer than the one in
-    effect has been refused as invalid.
+    effect has been refused as invalid.  ``zones_evacuated`` is the number of
+    evacuated availability zones.
 
     ``unheld_s`` is the time for which keys assigned to this process were not
     held by its backend server, multiplied by their share of all keys.
@@ -65,6 +66,7 @@
     ranges_moved: int
     config_version: int
     config_refused: bool
+    zones_evacuated: int
     ownership_version: int
     peers_alive: int
     oldest_status_s: float
@@ -219,6 +221,7 @@
     ("bronzepaddle.keys.held", "", _observe_field("keys_held")),
     ("bronzepaddle.config.version", "", _observe_field("config_version")),
     ("bronzepaddle.config.refused", "", _observe_field("config_refused")),
+    ("bronzepaddle.zones.evacuated", "", _observe_field("zones_evacuated")),
     (
         "bronzepaddle.ownership.version",
         "",
--- a/packages/bronzepaddle-store/src/bronzepaddle_store/store.py
+++ b/packages/bronzepaddle-store/src/bronzepaddle_store/store.py
@@ -29,6 +29,14 @@
     body: bytes
 
 
+@dataclasses.dataclass(frozen=True)
+class FolderNames:
+    """The names in a folder; ``revision`` is that of the store."""
+
+    revision: ids.ObjectVersion
+    names: frozenset[str]
+
+
 class StoreError(Exception):
     """A call to the platform failed."""
 
--- a/packages/bronzepaddle/src/bronzepaddle/logs.py
+++ b/packages/bronzepaddle/src/bronzepaddle/logs.py
@@ -444,6 +444,21 @@
     )
 
 
+def zones_evacuated(
+    zones: tuple[ids.ZoneName, ...], revision: int, source: str
+) -> None:
+    """Log the zones that are evacuated from now on, and how they are known.
+
+    ``revision`` is the revision of the store at which they were listed.
+    """
+    eliot.log_message(
+        message_type="zones-evacuated",
+        zones=list(zones),
+        revision=revision,
+        source=source,
+    )
+
+
 def in_force(version: ids.BundleVersion, source: str) -> None:
     """Log the configuration that is in effect from now on."""
     eliot.log_message(message_type="in-force", version=version, source=source)
--- a/packages/bronzepaddle/src/bronzepaddle/sidecar_options.py
+++ b/packages/bronzepaddle/src/bronzepaddle/sidecar_options.py
@@ -30,6 +30,7 @@
     "platform": ("form", "address", "timeout-s", "calls-per-minute"),
     "backend": ("announce-ms", "threads"),
     "keys": ("lease-s", "read-s", "most-hold-ms"),
+    "evacuations": ("within-ms",),
     "retries": ("share", "slack"),
     "metrics": ("listen",),
     "log": ("lines-per-s", "burst"),
@@ -64,7 +65,9 @@
     peers, ``announce_s`` that of the backend server's announcements.  All
     processes together may make ``retry_slack`` retries beyond the share
     ``retry_share`` of their requests.  ``link_mbps`` is the bandwidth of the
-    VM's network link, None if unknown.
+    VM's network link, None if unknown.  ``evacuate_within_s`` is the time in
+    which the evacuation of a zone must take effect, None if the operator
+    evacuates no zones.
     """
 
     name: ids.MemberId
@@ -89,6 +92,7 @@
     retry_share: float
     retry_slack: float
     metrics: options.Endpoint | None = None
+    evacuate_within_s: float | None = None
     log: log_writer.Bounds = dataclasses.field(
         default_factory=log_writer.Bounds
     )
@@ -166,6 +170,12 @@
                 if self.parser.has_section("metrics")
                 else None
             ),
+            evacuate_within_s=(
+                self.number("evacuations", "within-ms", 5000.0, 500.0, 600_000)
+                / 1000
+                if self.parser.get("evacuations", "within-ms", fallback="")
+                else None
+            ),
             log=log_writer.Bounds(
                 lines_per_s=self.number("log", "lines-per-s", 100.0, 1, 1e6),
                 burst=self.number("log", "burst", 300.0, 1, 1e6),
--- a/tests/integration/platform_standins.py
+++ b/tests/integration/platform_standins.py
@@ -75,6 +75,8 @@
         self.changed = threading.Condition()
         self.revision = 10
         self.objects_by_kind: dict[str, dict[str, tuple[int, typing.Any]]] = {}
+        # By kind: the revision and the name of each object that was removed.
+        self.removals: dict[str, list[tuple[int, str]]] = {}
         super().__init__()
 
     def put(self, kind: str, name: str, spec: object) -> None:
@@ -87,6 +89,14 @@
             )
             self.changed.notify_all()
 
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object and wake the watches."""
+        with self.changed:
+            self.revision += 1
+            del self.objects_by_kind[kind][name]
+            self.removals.setdefault(kind, []).append((self.revision, name))
+            self.changed.notify_all()
+
     def serve(
         self, environ: dict[str, typing.Any], start_response: typing.Any
     ) -> collections.abc.Iterable[bytes]:
@@ -147,12 +157,32 @@
                 if revision > since
             ]
 
+        def removed_names() -> list[str]:
+            return [
+                name
+                for revision, name in self.removals.get(kind, [])
+                if revision > since
+            ]
+
         with self.changed:
-            self.changed.wait_for(newer_names, int(query["wait_ms"]) / 1000)
+            self.changed.wait_for(
+                lambda: newer_names() or removed_names(),
+                int(query["wait_ms"]) / 1000,
+            )
             events = [
                 {"tombstone": False, "object": self._object(kind, name)}
                 for name in newer_names()
             ]
+            events += [
+                {
+                    "tombstone": True,
+                    "object": {
+                        "metadata": {"name": name, "revision": self.revision},
+                        "spec": None,
+                    },
+                }
+                for name in removed_names()
+            ]
             return 200, {"events": events, "current_rev": self.revision}
 
     def _write(
--- a/tests/integration/test_sidecar.py
+++ b/tests/integration/test_sidecar.py
@@ -140,6 +140,8 @@
 announce-ms = {ANNOUNCE_INTERVAL_S * 1000}
 [metrics]
 listen = {local_addresses.unused_address()}
+[evacuations]
+within-ms = 5000
 """
 
     def _announce_servers(self) -> None:
@@ -441,6 +443,33 @@
     )
 
 
+def test_evacuated_zone_gets_no_requests_until_it_is_taken_back(
+    fleet: Fleet,
+) -> None:
+    """All servers are in the evacuated zone, so nothing can be served.
+
+    Guards against requests to servers that the operator has emptied, and
+    against a zone that is never used again.
+    """
+    zone = "a"
+    fleet.store.put("evacuations", zone, {})
+    for path, key in (("/plain/x", None), ("/keyed/x", 5)):
+        fleet.wait_until(
+            lambda path=path, key=key: (  # type: ignore[misc]
+                fleet.send("one", path, key).status == 503
+            ),
+            f"{path} is not served",
+        )
+    for server in fleet.servers.values():
+        server.received.clear()
+    for name in fleet.sidecars:
+        assert fleet.send(name, "/plain/x").status == 503
+        assert fleet.send(name, "/keyed/x", 5).status == 503
+    assert not any(server.received for server in fleet.servers.values())
+    fleet.store.remove("evacuations", zone)
+    fleet.wait_until_served()
+
+
 def test_caller_that_hangs_up_ends_the_request(fleet: Fleet) -> None:
     """A request ends when its caller disconnects while it runs.
 
--- a/tests/test_sidecar_metrics.py
+++ b/tests/test_sidecar_metrics.py
@@ -21,6 +21,7 @@
     ranges_moved=3,
     config_version=4,
     config_refused=True,
+    zones_evacuated=1,
     ownership_version=5,
     peers_alive=6,
     oldest_status_s=0.2,
