Believe only a status of three digits from 200 to 599

Cause: http.client reads the status by int(), so that 2_00, +200, 0200 and 00200 were taken for 200, and any white space for that of a status line. 000, 0, 099, 20, 600 and 1000 were errors already: the report of status 000 doesn't reproduce here, these relatives of it do. Change: strict_http checks the whole status line; a response that isn't final can't be built, nor sent on between processes.

--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_messages.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_messages.py
@@ -7,7 +7,7 @@
 import typing
 
 import msgspec
-from bronzepaddle import ids
+from bronzepaddle import http_messages, ids
 
 from bronzepaddle_peers import statuses
 
@@ -18,6 +18,15 @@
 """
 
 
+FinalStatus: typing.TypeAlias = typing.Annotated[
+    int,
+    msgspec.Meta(
+        ge=http_messages.MIN_FINAL_STATUS, le=http_messages.MAX_STATUS
+    ),
+]
+"""The status of a final response; a message with another one is invalid."""
+
+
 class ForwardedRequest(
     msgspec.Struct, frozen=True, tag="ask", array_like=True
 ):
@@ -82,7 +91,7 @@
     """
 
     number: int
-    status: int
+    status: FinalStatus
     headers: tuple[tuple[str, str], ...]
     verdict: str
     reason: str
--- a/packages/bronzepaddle/src/bronzepaddle/http_messages.py
+++ b/packages/bronzepaddle/src/bronzepaddle/http_messages.py
@@ -16,6 +16,10 @@
 CHUNK_BYTES: typing.Final = 64 * 1024
 """Size of the chunks in which bodies are transferred."""
 
+MIN_FINAL_STATUS: typing.Final = 200
+MAX_STATUS: typing.Final = 599
+"""Statuses of final responses; lower ones are those of interim responses."""
+
 HOP_BY_HOP: typing.Final = frozenset(
     {
         "connection",
@@ -61,6 +65,8 @@
 class Response:
     """A response with the verdict of the hop that returns it.
 
+    Raises ``ValueError`` if its status is not that of a final response.
+
     ``server`` is the member whose process produced the response.  Iterating
     over ``body`` raises ``IncompleteBodyError`` if the body is incomplete.
     """
@@ -74,6 +80,10 @@
     retry_after_s: float | None = None
     detail: str = ""
 
+    def __post_init__(self) -> None:
+        if not MIN_FINAL_STATUS <= self.status <= MAX_STATUS:
+            raise ValueError(f"status {self.status} is not a final one")
+
 
 class IncompleteBodyError(Exception):
     """A body ended before it was complete."""
--- a/packages/bronzepaddle/src/bronzepaddle/strict_http.py
+++ b/packages/bronzepaddle/src/bronzepaddle/strict_http.py
@@ -3,22 +3,27 @@
 ``http.client`` takes the end of the stream for the end of a header section or
 of a chunked body, ignores a ``Content-Length`` that isn't a number, and stops
 at a header line that it can't parse.  A response that was cut off would
-look complete.  ``Connection`` raises an error in all these cases.
+look complete.  It also takes any text for a status that ``int`` accepts, such
+as ``2_00``.  ``Connection`` raises an error in all these cases.
 ``bounded_http`` adds limits on the time and size of a response.
 """
 
 import http
 import http.client
 import io
+import re
 import typing
 
 import urllib3
 
+from bronzepaddle import http_messages
+
 MAX_LENGTH_DIGITS: typing.Final = 18
 """Longest ``Content-Length`` accepted, in digits."""
 
-MIN_FINAL_STATUS: typing.Final = 200
-MAX_STATUS: typing.Final = 599
+_STATUS_LINE: typing.Final = re.compile(
+    rb"HTTP/1\.[01] [1-5][0-9][0-9](?: [^\r\n]*)?\r?\n"
+)
 
 
 class InvalidHeadError(http.client.HTTPException):
@@ -33,14 +38,18 @@
     """The bytes of a response, whose lines must not be cut off.
 
     Lines are the status line, headers, and sizes and trailers of chunks.
+    ``last_line`` is the one that was read last.
     """
 
+    last_line = b""
+
     def readline(self, size: int | None = -1, /) -> bytes:
         """Read a line; raises ``ResponseCutOffError`` if it has no end."""
         line = super().readline(size)
         is_too_long = size is not None and 0 <= size <= len(line)
         if not line.endswith(b"\n") and not is_too_long:
             raise ResponseCutOffError("the response was cut off")
+        self.last_line = line
         return line
 
 
@@ -52,7 +61,7 @@
 
     def __init__(self, *args: typing.Any, **kwargs: typing.Any) -> None:
         super().__init__(*args, **kwargs)
-        self.fp = _LineReader(self.fp.detach())
+        self.fp = self.lines = _LineReader(self.fp.detach())
 
     def begin(self) -> None:
         """Read the head of the final response, skipping interim ones.
@@ -60,7 +69,7 @@
         Raises ``InvalidHeadError`` and ``ResponseCutOffError``.
         """
         super().begin()
-        while self.status < MIN_FINAL_STATUS:
+        while self.status < http_messages.MIN_FINAL_STATUS:
             if self.status == http.HTTPStatus.SWITCHING_PROTOCOLS:
                 raise InvalidHeadError("switches to another protocol")
             self._check_head()
@@ -68,10 +77,16 @@
             super().begin()
         self._check_head()
 
+    def _read_status(self) -> tuple[str, int, str]:
+        """Read the status line; raises ``InvalidHeadError``."""
+        parsed: tuple[str, int, str] = super()._read_status()  # type: ignore[misc]
+        line = self.lines.last_line
+        if not _STATUS_LINE.fullmatch(line):
+            raise InvalidHeadError(f"status line {line!r}")
+        return parsed
+
     def _check_head(self) -> None:
         """Raise ``InvalidHeadError`` if the head is malformed."""
-        if self.status > MAX_STATUS:
-            raise InvalidHeadError(f"status {self.status}")
         try:
             urllib3.util.response.assert_header_parsing(self.headers)
         except urllib3.exceptions.HeaderParsingError as error:
--- a/tests/test_response_integrity.py
+++ b/tests/test_response_integrity.py
@@ -102,6 +102,92 @@
     assert send([response]).verdict is verdicts.Verdict.MAY_HAVE_RUN
 
 
+ODD_STATUSES: typing.Final = (
+    b"000",
+    b"0",
+    b"099",
+    b"20",
+    b"600",
+    b"1000",
+    b"2_00",
+    b"+200",
+    b"0200",
+    b"00200",
+    b"200.0",
+    b"2e2",
+    b"\xb2\xb0\xb0",
+)
+"""Texts in the place of a status that are not three digits of 200 to 599.
+
+``int`` accepts some of them.
+"""
+
+
+@pytest.mark.parametrize("status", ODD_STATUSES)
+def test_odd_status_is_no_response(status: bytes) -> None:
+    """Guards against a failure of a server that is taken for a success."""
+    response = WITH_LENGTH.replace(b"200", status)
+    assert send([response]).verdict is verdicts.Verdict.MAY_HAVE_RUN
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"HTTP/1.1 200",
+        b"HTTP/1.1 200 ",
+        b"HTTP/1.0 200 OK",
+        b"HTTP/1.1 200 two words",
+    ],
+)
+def test_valid_status_line_is_accepted(line: bytes) -> None:
+    response = WITH_LENGTH.replace(b"HTTP/1.1 200 OK", line)
+    assert send([response]).verdict is verdicts.Verdict.RAN
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"HTTP/1.1  200 OK",
+        b"HTTP/1.1\t200 OK",
+        b" HTTP/1.1 200 OK",
+        b"HTTP/1.10 200 OK",
+        b"HTTP/2.0 200 OK",
+        b"ICY 200 OK",
+        b"HTTP/1.1 200OK",
+    ],
+)
+def test_malformed_status_line_may_have_run(line: bytes) -> None:
+    response = WITH_LENGTH.replace(b"HTTP/1.1 200 OK", line)
+    assert send([response]).verdict is verdicts.Verdict.MAY_HAVE_RUN
+
+
+@pytest.mark.parametrize("status", ODD_STATUSES)
+def test_odd_status_confirms_no_command(status: bytes) -> None:
+    server = scripted_server.ScriptedServer(
+        [b"HTTP/1.1 " + status + b" X\r\nContent-Length: 0\r\n\r\n"]
+    )
+    pool = scripted_server.connection_pool(server.port)
+    with (
+        contextlib.closing(pool),
+        pytest.raises(connections.CommandLostError),
+    ):
+        pool.send_command("/api/release", lambda: b"{}", 5.0)
+
+
+@pytest.mark.parametrize("status", [0, 99, 199, 600, 1000])
+def test_response_to_a_caller_has_a_final_status(status: int) -> None:
+    """No status of a peer or of this process's own is passed on otherwise."""
+    with pytest.raises(ValueError, match="status"):
+        http_messages.Response(
+            status,
+            (),
+            iter(()),
+            verdicts.Verdict.RAN,
+            verdicts.Reason.SERVED,
+            ids.MemberId("me"),
+        )
+
+
 def test_interim_responses_are_skipped() -> None:
     interim = b"HTTP/1.1 103 Early Hints\r\nX-Some: 1\r\n\r\n"
     received = send([interim + interim + WITH_LENGTH])
@@ -319,6 +405,17 @@
         return False
 
 
+@pytest.mark.parametrize("status", ODD_STATUSES)
+def test_odd_status_is_no_response_in_a_cell(status: bytes) -> None:
+    server = scripted_server.ScriptedServer(
+        [CELL_RESPONSE.replace(b"200", status)]
+    )
+    sender = dispatcher(server.port)
+    with contextlib.closing(sender):
+        response = sender.send(cell_request("r-1"), iter(()), None)
+    assert response.verdict is verdicts.Verdict.MAY_HAVE_RUN
+
+
 @pytest.mark.parametrize(
     "response", [CELL_RESPONSE, CELL_CHUNKED, CELL_REFUSAL]
 )
