Refuse in time what was never handed to a server

Cause: a request that waited for a slot beside its server was looked at only when something else happened there, and the process that had forwarded it gave up at the same deadline. That one can't know whether the request has run, so the caller was told 504. The same held for a connection to the server that was not accepted, and for a request that was never written to the stream of a peer.

Change: the queue names the time of its next change, and ServerRun, now in a module of its own, asks it again then. What still waits REFUSAL_MARGIN_S before its deadline is refused as not run, with a Retry-After, after everything that could start has started. A connection attempt ends that time before the deadline. stream_client knows at the deadline whether a request was written to the peer; only if no part of it was, the request has not run. A request that was let through with an outdated mean stays so until it starts.

--- a/packages/bronzepaddle-backend/src/bronzepaddle_backend/connections.py
+++ b/packages/bronzepaddle-backend/src/bronzepaddle_backend/connections.py
@@ -21,6 +21,7 @@
 
 import urllib3
 from bronzepaddle import bounded_http, http_messages, ids, problems, verdicts
+from bronzepaddle.load import server_queue
 
 CONNECT_TIMEOUT_S: typing.Final = 0.5
 
@@ -185,7 +186,7 @@
                 MAX_IDLE_S
                 if request.idempotent
                 else MAX_IDLE_NOT_IDEMPOTENT_S,
-                min(CONNECT_TIMEOUT_S, left_s),
+                _connect_timeout_s(left_s),
             )
         except (OSError, urllib3.exceptions.HTTPError) as error:
             reason = (
@@ -528,6 +529,15 @@
     """A command got no response: it may be executed now, later or never."""
 
 
+def _connect_timeout_s(left_s: float) -> float:
+    """Return the timeout for connecting, with time left to report a failure.
+
+    The request has not run then, and its caller should be told so in time.
+    """
+    usable_s = left_s - server_queue.REFUSAL_MARGIN_S
+    return min(CONNECT_TIMEOUT_S, max(MIN_TIMEOUT_S, usable_s))
+
+
 def _connection_refused(error: Exception) -> bool:
     """Return whether nothing listened at the server's address.
 
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
@@ -18,6 +18,7 @@
 from bronzepaddle_peers import pacing, stream_client, stream_messages
 
 from bronzepaddle_node import crash_detector, held_keys, process_end
+from bronzepaddle_node.requests import server_runs
 
 DRAIN_GRACE_S: typing.Final = 1.0
 """Time for which a draining server is still sent requests.
@@ -29,48 +30,6 @@
 """Retry-After of rejections while the server or the key is being moved."""
 
 
-class ServerRun:
-    """One run of the backend server, with its connections and its queue.
-
-    A run lasts from a start of the server until it stops or crashes.
-    """
-
-    def __init__(
-        self,
-        announcement: server_tracker.Announcement,
-        connection_pool: connections.Connections,
-        queue: server_queue.ServerQueue,
-    ) -> None:
-        self.announcement = announcement
-        self.connections = connection_pool
-        self.queue = queue
-        # Whether the server has announced that it drains or leaves; its end is
-        # then no crash.
-        self.leaving = (
-            announcement.state is server_tracker.AnnouncedState.DRAINING
-        )
-        # The requests that wait for a slot, each with a future whose result
-        # is whether it got one.
-        self.slot_waiters: dict[
-            server_queue.QueueEntry, asyncio.Future[bool]
-        ] = {}
-        # The requests that were sent to the server and still hold a slot.
-        self.sent_entries: set[server_queue.QueueEntry] = set()
-
-    def wake_waiters(self, now: float) -> None:
-        """Wake the requests that get a slot and those that have expired."""
-        for entry in self.queue.remove_expired(now):
-            self._wake(entry, False)
-        for entry in self.queue.start_next(now):
-            self._wake(entry, True)
-
-    def _wake(self, entry: server_queue.QueueEntry, got_slot: bool) -> None:
-        """Give a waiting request the result of its wait."""
-        waiter = self.slot_waiters.pop(entry, None)
-        if waiter is not None and not waiter.done():
-            waiter.set_result(got_slot)
-
-
 class LocalBackend:
     """Runs requests on the backend server on the same VM."""
 
@@ -95,7 +54,7 @@
         self.workers = workers
         self.pacer = pacer
         self.clock = clock
-        self.server_run: ServerRun | None = None
+        self.server_run: server_runs.ServerRun | None = None
         self.in_flight = 0
         self.process_end = process_end.NEVER
         self.key_load = key_load.KeyLoadCounter(clock.now())
@@ -129,10 +88,11 @@
             self.header_names,
             self.clock.now,
         )
-        self.server_run = ServerRun(
+        self.server_run = server_runs.ServerRun(
             announcement,
             connection_pool,
             server_queue.ServerQueue(announcement.slots, self.clock.now()),
+            self.clock,
         )
         self.held_keys.set_run(announcement.run)
 
@@ -209,7 +169,10 @@
                 self.queue_state(),
             )
         return stream_client.Reply(
-            response, self.outstanding(), self.mean_service_s(), True
+            response,
+            self.outstanding(),
+            self.mean_service_s(),
+            True,
         )
 
     async def _respond(
@@ -253,7 +216,7 @@
 
     async def _wait_and_send(
         self,
-        server_run: ServerRun,
+        server_run: server_runs.ServerRun,
         entry: server_queue.QueueEntry,
         request: stream_messages.ForwardedRequest,
         deadline: float,
@@ -265,7 +228,10 @@
         server_run.wake_waiters(self.clock.now())
         try:
             if not await waiter:
-                return self._reject(verdicts.Reason.TOO_LATE)
+                return self._reject(
+                    verdicts.Reason.TOO_LATE,
+                    server_run.queue.retry_after_s(self.clock.now()),
+                )
             reason = self._rejection_reason(server_run, request, DRAIN_GRACE_S)
             if reason is not None:
                 return self._reject(reason, MOVING_RETRY_AFTER_S)
@@ -280,7 +246,7 @@
 
     async def _send(
         self,
-        server_run: ServerRun,
+        server_run: server_runs.ServerRun,
         entry: server_queue.QueueEntry,
         request: stream_messages.ForwardedRequest,
         deadline: float,
@@ -321,7 +287,7 @@
 
     def _on_worker_done(
         self,
-        server_run: ServerRun,
+        server_run: server_runs.ServerRun,
         entry: server_queue.QueueEntry,
         request: stream_messages.ForwardedRequest,
         cancellation: connections.Cancellation,
@@ -364,7 +330,7 @@
 
     def _rejection_reason(
         self,
-        server_run: ServerRun | None,
+        server_run: server_runs.ServerRun | None,
         request: stream_messages.ForwardedRequest,
         drain_grace_s: float = 0.0,
     ) -> verdicts.Reason | None:
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
@@ -475,13 +475,14 @@
         )
         timed_out = False
         try:
-            async with asyncio.timeout(forwarded.time_left_s):
-                if member == self.name:
+            if member == self.name:
+                async with asyncio.timeout(forwarded.time_left_s):
                     reply = await self.local_backend.handle(forwarded)
-                else:
-                    reply = await self.peer_streams.send(
-                        member, peer.status.address, forwarded
-                    )
+            else:
+                # Knows at the deadline whether the request was written.
+                reply = await self.peer_streams.send(
+                    member, peer.status.address, forwarded
+                )
         except TimeoutError:
             timed_out = True
         finally:
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_client.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_client.py
@@ -30,6 +30,9 @@
 CONNECT_TIMEOUT_S: typing.Final = 0.4
 PULL_TIMEOUT_S: typing.Final = 0.7
 
+UNREACHABLE_RETRY_AFTER_S: typing.Final = 0.5
+"""Retry-After of a request that was not written to a stream in time."""
+
 _Stream: typing.TypeAlias = typing.Any
 
 
@@ -242,6 +245,22 @@
         keepalive.set_options(sock)
 
 
+def _rejection_at_deadline(
+    member: ids.MemberId, sent: bool
+) -> http_messages.Response:
+    """Return the rejection of a request without a reply at its deadline."""
+    if sent:
+        return http_messages.rejection(
+            verdicts.Reason.DEADLINE, member, verdicts.Verdict.MAY_HAVE_RUN
+        )
+    return http_messages.rejection(
+        verdicts.Reason.PEER_UNREACHABLE,
+        member,
+        retry_after_s=UNREACHABLE_RETRY_AFTER_S,
+        detail="nothing was written to the stream",
+    )
+
+
 def _reply(head: stream_messages.ResponseHead, pieces: list[bytes]) -> Reply:
     return Reply(
         http_messages.Response(
@@ -287,14 +306,19 @@
     ) -> Reply:
         """Send a request and return the reply.
 
-        If the stream breaks, the reply contains a rejection.  Cancelling this
-        call cancels the request at the peer.
+        If the stream breaks, or there is no reply within the request's time,
+        the reply contains a rejection.  It says that the request has not run
+        only if no part of it was written.  Cancelling this call, or the end of
+        that time, cancels the request at the peer.
         """
         stream = self._stream_to(member, address)
         pending = _Pending(asyncio.get_running_loop().create_future())
         stream.send(request, pending)
         try:
-            return await pending.reply_future
+            async with asyncio.timeout(request.time_left_s):
+                return await pending.reply_future
+        except TimeoutError:
+            return Reply(_rejection_at_deadline(member, pending.sent))
         finally:
             if stream.pending.pop(request.number, None) is not None:
                 stream.outgoing.put_nowait(
--- a/packages/bronzepaddle/src/bronzepaddle/load/server_queue.py
+++ b/packages/bronzepaddle/src/bronzepaddle/load/server_queue.py
@@ -19,6 +19,9 @@
   has already passed goes behind the requests that can still be in time.
   Otherwise the retries would make every request late.
 
+A request that still waits shortly before its deadline is given up then, so
+that its caller is told in time that it has not run.
+
 A request that must not be repeated may wait beyond its target time, because
 losing it is worse than serving it late.
 """
@@ -63,6 +66,13 @@
 MIN_RETRY_AFTER_S: typing.Final = 0.1
 """Minimum retry delay that a rejected request is given."""
 
+REFUSAL_MARGIN_S: typing.Final = 0.1
+"""Time before its deadline at which a waiting request is given up.
+
+It is the time for a refusal to reach the process that forwarded the request,
+which must otherwise assume at the deadline that the request may have run.
+"""
+
 DECAY_S: typing.Final = 1.0
 """Time constant of the exponential decay of the counters."""
 
@@ -247,6 +257,44 @@
             entry.state = State.DONE
         return expired
 
+    def remove_unstarted(self, now: float) -> list[QueueEntry]:
+        """Remove and return requests that are given up unless started now.
+
+        To be called after ``start_next``: what could start has started.
+        """
+        unstarted = [
+            entry
+            for entry in self.waiting
+            if now + REFUSAL_MARGIN_S >= entry.deadline
+        ]
+        for entry in unstarted:
+            self.waiting.remove(entry)
+            entry.state = State.DONE
+        return unstarted
+
+    def next_change_at(self, now: float) -> float | None:
+        """Return when a waiting request is given up by itself.
+
+        Returns None if none is waiting.  Until then, only an event can change
+        what waits.
+        """
+        if not self.waiting:
+            return None
+        given_up_at = min(self._given_up_at(entry) for entry in self.waiting)
+        return given_up_at
+
+    def _given_up_at(self, entry: QueueEntry) -> float:
+        """Return the time at which a request is given up if it still waits."""
+        margin_s = REFUSAL_MARGIN_S
+        if not entry.corrects_mean:
+            margin_s = max(margin_s, self.mean_s(entry.profile.kind) / 2)
+        return entry.deadline - margin_s
+
+    def retry_after_s(self, now: float) -> float:
+        """Return the retry delay of a request that was given up."""
+        self._decay_counters(now)
+        return self._retry_after_s(0.0)
+
     def _misses_deadline(self, entry: QueueEntry, now: float) -> bool:
         """Return whether a waiting request would miss its deadline."""
         return now + self.mean_s(entry.profile.kind) / 2 > entry.deadline
@@ -258,6 +306,8 @@
         become too high, for instance after the whole process was frozen, and
         only a request that runs corrects it.
         """
+        if entry.corrects_mean:
+            return now < entry.deadline
         kind = entry.profile.kind
         estimate_age_s = now - self.estimated_at.get(kind, now)
         is_outdated = (
