Send cold servers no more requests per second than they tolerate

Cause: a server that has just started, or is cold again, was sent as many requests as it has slots for. Above its rate it crashes, starts cold and crashes again.

Change: cold_servers.StartLimit counts what the process beside a server sends it in a sliding second, and ServerQueue starts no more than the rate of the service's configuration (cold_per_s, 0 is off). The wait for it is part of the expected wait; the rest is refused at once with the time at which there is room. Statuses and replies carry starts_per_s, and load balancing compares cold servers as seldom as that is below what they run when warm.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
@@ -13,7 +13,7 @@
 import typing
 
 from bronzepaddle import clocks, http_messages, ids, logs, suspects, verdicts
-from bronzepaddle.load import key_load, server_queue
+from bronzepaddle.load import cold_servers, key_load, server_queue
 from bronzepaddle_backend import connections, server_tracker
 from bronzepaddle_peers import pacing, stream_client, stream_messages
 
@@ -42,6 +42,7 @@
         workers: concurrent.futures.Executor,
         detector: crash_detector.CrashDetector,
         pacer: pacing.Pacer,
+        start_limit: cold_servers.StartLimit,
         clock: clocks.Clock,
         on_server_lost: collections.abc.Callable[[], None],
     ) -> None:
@@ -53,6 +54,10 @@
         self.held_keys = granted_keys
         self.workers = workers
         self.pacer = pacer
+        self.start_limit = start_limit
+        # The run of the server that was last logged as cold, empty if it was
+        # logged as warm.
+        self.cold_run = ""
         self.clock = clock
         self.server_run: server_runs.ServerRun | None = None
         self.in_flight = 0
@@ -66,6 +71,7 @@
 
         A new run of the server gets new connections and a new queue.
         """
+        self._record_coldness(announcement)
         current = self.server_run
         if (
             current is not None
@@ -75,6 +81,8 @@
             current.leaving |= (
                 announcement.state is server_tracker.AnnouncedState.DRAINING
             )
+            # A server that is warm again may be sent more at once.
+            current.wake_waiters(self.clock.now())
             return
         if current is not None:
             current.connections.close()
@@ -91,11 +99,34 @@
         self.server_run = server_runs.ServerRun(
             announcement,
             connection_pool,
-            server_queue.ServerQueue(announcement.slots, self.clock.now()),
+            server_queue.ServerQueue(
+                announcement.slots, self.clock.now(), self.start_limit
+            ),
             self.clock,
         )
         self.held_keys.set_run(announcement.run)
 
+    def _record_coldness(
+        self, announcement: server_tracker.Announcement
+    ) -> None:
+        """Record how long the server is cold; log it if that has changed."""
+        now = self.clock.now()
+        self.start_limit.set_cold(announcement.warmup_left_s, now)
+        starts_per_s = self.start_limit.starts_per_s(now)
+        cold_run = announcement.run if starts_per_s else ""
+        if cold_run == self.cold_run:
+            return
+        self.cold_run = cold_run
+        if cold_run:
+            logs.server(
+                "cold",
+                cold_run,
+                f"{starts_per_s:.0f} requests per second at most for "
+                f"{announcement.warmup_left_s:.3f} s",
+            )
+        else:
+            logs.server("warm", announcement.run, "")
+
     def on_server_leaving(self, server_id: str) -> None:
         """Record that a server leaves: its end is then not a crash."""
         current = self.server_run
@@ -173,6 +204,7 @@
             self.outstanding(),
             self.mean_service_s(),
             True,
+            starts_per_s=self.start_limit.starts_per_s(self.clock.now()),
         )
 
     async def _respond(
@@ -200,12 +232,12 @@
         deadline = now + request.time_left_s
         decision = server_run.queue.submit(_request_profile(request), now)
         match decision:
-            case server_queue.Rejected(wait_s, retry_after_s):
+            case server_queue.Rejected():
                 return http_messages.rejection(
                     verdicts.Reason.TOO_LATE,
                     self.name,
-                    retry_after_s=retry_after_s,
-                    detail=f"expected to start in {wait_s:.3f} s",
+                    retry_after_s=decision.retry_after_s,
+                    detail=str(decision),
                 )
             case server_queue.QueueEntry():
                 return await self._wait_and_send(
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/peer_table.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/peer_table.py
@@ -53,6 +53,7 @@
         self.in_flight_at_report = 0
         self.outstanding = status.outstanding
         self.service_s = status.service_s
+        self.starts_per_s = status.starts_per_s
 
     def update(self, status: statuses.Status, now: float) -> bool:
         """Update from a status; return whether it is newer."""
@@ -69,6 +70,7 @@
         self.status = status
         self.heard_at = self.status_received_at = now
         self.record_load(status.outstanding, status.service_s)
+        self.starts_per_s = status.starts_per_s
         return True
 
     def record_load(self, outstanding: int, service_s: float) -> None:
@@ -186,6 +188,7 @@
             peer.service_s,
             status.warmup_left_s > 0,
             status.zone == self.zone,
+            starts_per_s=peer.starts_per_s,
         )
 
     def record_reply(
@@ -200,5 +203,6 @@
         if reply.has_load:
             peer.heard_at = max(peer.heard_at, now)
             peer.record_load(reply.outstanding, reply.service_s)
+            peer.starts_per_s = reply.starts_per_s
         elif peer.status.sender != self.own_name:
             peer.avoid_until = now + AVOID_S
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -29,7 +29,7 @@
     sidecar_options,
     status,
 )
-from bronzepaddle.load import retries
+from bronzepaddle.load import cold_servers, retries
 from bronzepaddle_backend import key_grants, key_reports, server_tracker
 from bronzepaddle_callers import buffered_app, server
 from bronzepaddle_peers import (
@@ -134,6 +134,7 @@
             self.workers,
             self.crash_detector,
             self.pacer,
+            cold_servers.StartLimit(self.clock.now(), random.Random()),
             self.clock,
             self._on_server_lost,
         )
@@ -455,8 +456,12 @@
             self.reconciler.on_status(status)
 
     def _on_table(self, table: route_table.Table) -> None:
-        """Apply a new table's idle timeout and broadcast its version."""
+        """Apply a new table's limits and broadcast its version."""
         self.caller_server.cheroot_server.timeout = table.limits.idle_timeout_s
+        rules = table.services.get(self.settings.service)
+        self.local_backend.start_limit.rate = (
+            0.0 if rules is None else rules.cold_per_s
+        )
         self.broadcaster.broadcast_soon()
 
     def _build_status(self, sequence: int) -> statuses.Status:
@@ -517,6 +522,7 @@
             read=self.reconciler.view.last_read,
             suspects=self.crash_detector.recent_changes(),
             affected_members=self.reconciler.view.affected_members(),
+            starts_per_s=self.local_backend.start_limit.starts_per_s(now),
         )
 
     def _runtime_snapshot(self) -> runtime_stats.Snapshot:
@@ -562,6 +568,8 @@
             lines_dropped=dropped,
             loop_lag_s=self.runtime_stats.lag_s,
             snapshot=self._runtime_snapshot(),
+            starts_per_s=self.local_backend.start_limit.starts_per_s(now),
+            start_rejections=self.local_backend.start_limit.rejected,
         )
 
     def reconfigure(self, settings: sidecar_options.SidecarOptions) -> None:
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar_metrics.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar_metrics.py
@@ -54,6 +54,10 @@
     ``lines_dropped`` counts dropped log lines by message type.
     ``loop_lag_s`` is the longest delay of the event loop since the last log
     line of ``runtime_stats``.
+
+    ``starts_per_s`` is the limit on the requests that are sent to the backend
+    server while it is cold, 0 if there is none; ``start_rejections`` counts
+    the requests that were rejected for it.
     """
 
     waiting: int
@@ -71,6 +75,8 @@
     lines_dropped: collections.abc.Mapping[str, int]
     loop_lag_s: float
     snapshot: runtime_stats.Snapshot
+    starts_per_s: float = 0.0
+    start_rejections: int = 0
 
 
 Read: typing.TypeAlias = collections.abc.Callable[[], Readings]
@@ -229,6 +235,7 @@
     ("bronzepaddle.loop.lag", "s", _observe_field("loop_lag_s")),
     ("bronzepaddle.callers.unassigned", "", _observe_unassigned),
     ("bronzepaddle.config.unconfirmed", "s", _observe_unconfirmed),
+    ("bronzepaddle.cold.starts.limit", "", _observe_field("starts_per_s")),
 )
 """Name, unit and observation of each gauge."""
 
@@ -237,6 +244,7 @@
     ("bronzepaddle.ranges.moved", _observe_field("ranges_moved")),
     ("bronzepaddle.store.calls", _observe_store_calls),
     ("bronzepaddle.log.dropped", _observe_dropped_lines),
+    ("bronzepaddle.cold.rejections", _observe_field("start_rejections")),
     ("bronzepaddle.datagrams", _observe_datagrams),
     ("bronzepaddle.datagram.bytes", _observe_datagram_bytes),
 )
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_client.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_client.py
@@ -40,7 +40,8 @@
 class Reply:
     """A complete response from a peer, with the peer's load.
 
-    ``outstanding`` and ``service_s`` are the load, as in ``statuses.Status``.
+    ``outstanding``, ``service_s`` and ``starts_per_s`` are the load, as in
+    ``statuses.Status``.
     ``has_load`` is not set if the stream broke: the response is then a
     rejection made by this process, without the peer's load.
     """
@@ -49,6 +50,7 @@
     outstanding: int = 0
     service_s: float = 0.0
     has_load: bool = False
+    starts_per_s: float = 0.0
 
 
 class _Pending:
@@ -277,6 +279,7 @@
         head.outstanding,
         head.service_s,
         True,
+        starts_per_s=head.starts_per_s,
     )
 
 
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_messages.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_messages.py
@@ -76,8 +76,8 @@
 class ResponseHead(msgspec.Struct, frozen=True, tag="head", array_like=True):
     """The head of a response with the first piece of its body.
 
-    ``more`` is set if further pieces follow.  ``outstanding`` and
-    ``service_s`` are the load of the responding process, as in
+    ``more`` is set if further pieces follow.  ``outstanding``, ``service_s``
+    and ``starts_per_s`` are the load of the responding process, as in
     ``statuses.Status``.
     """
 
@@ -92,6 +92,7 @@
     service_s: float
     piece: bytes
     more: bool
+    starts_per_s: float = 0.0
 
 
 class BodyPiece(msgspec.Struct, frozen=True, tag="piece", array_like=True):
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_service.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_service.py
@@ -216,6 +216,7 @@
         service_s=reply.service_s,
         piece=body[:size],
         more=len(body) > size,
+        starts_per_s=reply.starts_per_s,
     )
     for start in range(size, len(body), size):
         yield stream_messages.BodyPiece(
--- a/packages/bronzepaddle/src/bronzepaddle/load/load_balancing.py
+++ b/packages/bronzepaddle/src/bronzepaddle/load/load_balancing.py
@@ -10,6 +10,11 @@
 If each chose the best of all servers, they would overload the same few
 servers until the next status update.  With many candidates each process
 therefore compares two random ones ("power of two choices").
+
+After a restart, some servers are cold and can be sent only a few requests per
+second.  They are compared as seldom as that is less than what they can run
+when they are warm; two cold ones would otherwise often be compared with each
+other while warm ones have free slots.
 """
 
 import collections.abc
@@ -46,7 +51,9 @@
     ``slots`` is the number of requests that it runs at a time, ``outstanding``
     counts those that run or wait there.  ``service_s`` is the mean time in
     seconds that it takes to process a request (0 if not measured).  ``cold``
-    is set for a server that has just started.
+    is set for a server that has just started.  ``starts_per_s`` is the number
+    of requests per second that it can be sent while it is cold, 0 if there is
+    no such limit.
     """
 
     member: ids.MemberId
@@ -55,6 +62,7 @@
     service_s: float
     cold: bool
     same_zone: bool
+    starts_per_s: float = 0.0
 
 
 def choose_server(
@@ -72,7 +80,7 @@
     default_service_s = min(measured, default=DEFAULT_SERVICE_S)
     compared = candidates
     if len(candidates) > COMPARE_ALL_MAX:
-        compared = rng.sample(candidates, SAMPLE_SIZE)
+        compared = _sample(candidates, default_service_s, rng)
     best = min(
         compared,
         key=lambda candidate: (
@@ -83,6 +91,35 @@
     return best.member
 
 
+def _sample(
+    candidates: collections.abc.Sequence[Candidate],
+    default_service_s: float,
+    rng: random.Random,
+) -> list[Candidate]:
+    """Return the random candidates to compare."""
+    if not any(candidate.starts_per_s for candidate in candidates):
+        return rng.sample(candidates, SAMPLE_SIZE)
+    remaining = list(candidates)
+    compared: list[Candidate] = []
+    while len(compared) < SAMPLE_SIZE:
+        weights = [
+            _sample_weight(candidate, default_service_s)
+            for candidate in remaining
+        ]
+        [index] = rng.choices(range(len(remaining)), weights)
+        compared.append(remaining.pop(index))
+    return compared
+
+
+def _sample_weight(candidate: Candidate, default_service_s: float) -> float:
+    """Return what a candidate can be sent, as a share of what it can run."""
+    if not candidate.starts_per_s:
+        return 1.0
+    service_s = candidate.service_s or default_service_s
+    warm_per_s = max(1, candidate.slots) / service_s
+    return min(1.0, candidate.starts_per_s / warm_per_s)
+
+
 def expected_latency_s(
     candidate: Candidate, default_service_s: float = DEFAULT_SERVICE_S
 ) -> float:
@@ -101,4 +138,9 @@
     # load even before one of them is full.
     occupancy_factor = 1 + candidate.outstanding / max(1, candidate.slots)
     network_s = 0.0 if candidate.same_zone else OTHER_ZONE_S
-    return service_s * rounds * occupancy_factor + network_s
+    latency_s = service_s * rounds * occupancy_factor
+    if candidate.starts_per_s > 0:
+        # The rate serves the requests one after the other, as one slot would.
+        start_wait_s = (candidate.outstanding + 1) / candidate.starts_per_s
+        latency_s = max(latency_s, start_wait_s)
+    return latency_s + network_s
--- a/packages/bronzepaddle/src/bronzepaddle/load/server_queue.py
+++ b/packages/bronzepaddle/src/bronzepaddle/load/server_queue.py
@@ -18,6 +18,9 @@
 - *Retries of rejected requests.*  Within a rank, a request whose target time
   has already passed goes behind the requests that can still be in time.
   Otherwise the retries would make every request late.
+- *Restarts.*  A cold server starts only as many requests in a second as it
+  tolerates (``cold_servers``).  The wait for that is part of the wait for
+  which a request is rejected.
 
 A request that still waits shortly before its deadline is given up then, so
 that its caller is told in time that it has not run.
@@ -33,6 +36,7 @@
 import typing
 
 from bronzepaddle import averages
+from bronzepaddle.load import cold_servers
 
 MEAN_WEIGHT: typing.Final = 0.1
 """Weight of the newest service time in the moving average of its kind."""
@@ -121,10 +125,22 @@
     """The request does not run; it may be retried after a while.
 
     ``wait_s`` is the time that it was expected to wait for a slot.
+    ``starts_per_s`` is the rate of the cold server, if that is what it was
+    expected to wait for, otherwise 0.
     """
 
     wait_s: float
     retry_after_s: float
+    starts_per_s: float = 0.0
+
+    def __str__(self) -> str:
+        expected = f"expected to start in {self.wait_s:.3f} s"
+        if not self.starts_per_s:
+            return expected
+        return (
+            f"{expected}: the server is cold and gets {self.starts_per_s:.0f} "
+            f"requests per second, room in {self.retry_after_s:.3f} s"
+        )
 
 
 class QueueEntry:
@@ -151,10 +167,19 @@
 
 
 class ServerQueue:
-    """The queue of one server that runs ``slots`` requests at a time."""
+    """The queue of one server that runs ``slots`` requests at a time.
 
-    def __init__(self, slots: int, now: float) -> None:
+    ``start_limit`` limits how many it starts in a second; None if it doesn't.
+    """
+
+    def __init__(
+        self,
+        slots: int,
+        now: float,
+        start_limit: cold_servers.StartLimit | None = None,
+    ) -> None:
         self.slots = slots
+        self.start_limit = start_limit or cold_servers.unlimited(now)
         self.waiting: list[QueueEntry] = []
         self.running = 0
         self.running_by_kind: collections.Counter[str] = collections.Counter()
@@ -165,6 +190,8 @@
         self.overall_mean_service_s = 0.0
         # Expected service time of the admitted requests, decaying over time.
         self.admitted_s: dict[Level, float] = {}
+        # Their number, decaying likewise.
+        self.admitted: dict[Level, float] = {}
         self.rejected_at: dict[Level, float] = {}
         self.arrivals = 0.0
         self.rejections = 0.0
@@ -177,15 +204,19 @@
         self._decay_counters(now)
         self.arrivals += 1
         entry = QueueEntry(profile, now)
-        wait_s = self.expected_wait_s(entry)
+        slot_wait_s = self.expected_wait_s(entry)
+        start_wait_s = self.expected_start_wait_s(entry, now)
         mean_s = self.mean_s(profile.kind)
-        if wait_s > allowed_wait_s(profile, mean_s):
+        allowed_s = allowed_wait_s(profile, mean_s)
+        if max(slot_wait_s, start_wait_s) > allowed_s:
             self.rejections += 1
             self.rejected_at[profile.level] = now
-            return Rejected(wait_s, self._retry_after_s(wait_s))
-        self.admitted_s[profile.level] = (
-            self.admitted_s.get(profile.level, 0.0) + mean_s
-        )
+            if slot_wait_s < start_wait_s:
+                return self._reject_for_rate(start_wait_s, now)
+            return Rejected(slot_wait_s, self._retry_after_s(slot_wait_s))
+        level = profile.level
+        self.admitted_s[level] = self.admitted_s.get(level, 0.0) + mean_s
+        self.admitted[level] = self.admitted.get(level, 0.0) + 1
         self.waiting.append(entry)
         return entry
 
@@ -204,6 +235,33 @@
         slots = self._available_slots(entry.profile.level)
         return (ahead_s + self.mean_s(entry.profile.kind)) / slots
 
+    def expected_start_wait_s(self, entry: QueueEntry, now: float) -> float:
+        """Return the expected wait for the rate of a cold server."""
+        if not self.start_limit.starts_per_s(now):
+            return 0.0
+        ahead = sum(
+            earlier is not entry and earlier.sort_key <= entry.sort_key
+            for earlier in self.waiting
+        )
+        level = entry.profile.level
+        used_per_s = sum(
+            count / DECAY_S
+            for other_level, count in self.admitted.items()
+            if other_level < level
+        )
+        return self.start_limit.expected_wait_s(now, ahead, used_per_s)
+
+    def _reject_for_rate(self, wait_s: float, now: float) -> Rejected:
+        """Reject a request that the rate of a cold server leaves no room."""
+        limit = self.start_limit
+        limit.rejected += 1
+        room_at = limit.earliest_start(now, len(self.waiting))
+        return Rejected(
+            wait_s,
+            limit.room_in_s(now, room_at, self.rejections),
+            limit.starts_per_s(now),
+        )
+
     def _available_slots(self, level: Level) -> float:
         """Return the slots that more urgent levels leave to a level.
 
@@ -230,7 +288,12 @@
     def start_next(self, now: float) -> list[QueueEntry]:
         """Start waiting requests on the free slots; return them."""
         started: list[QueueEntry] = []
-        while self.waiting and self.running < self.slots:
+        while (
+            self.waiting
+            and self.running < self.slots
+            and self.start_limit.earliest_start(now) <= now
+        ):
+            self.start_limit.record_start(now)
             entry = min(self.waiting, key=lambda entry: entry.sort_key)
             self.waiting.remove(entry)
             entry.state = State.RUNNING
@@ -273,7 +336,7 @@
         return unstarted
 
     def next_change_at(self, now: float) -> float | None:
-        """Return when a waiting request is given up by itself.
+        """Return when a waiting request starts or is given up by itself.
 
         Returns None if none is waiting.  Until then, only an event can change
         what waits.
@@ -281,6 +344,8 @@
         if not self.waiting:
             return None
         given_up_at = min(self._given_up_at(entry) for entry in self.waiting)
+        if self.running < self.slots:
+            return min(given_up_at, self.start_limit.earliest_start(now))
         return given_up_at
 
     def _given_up_at(self, entry: QueueEntry) -> float:
@@ -293,6 +358,9 @@
     def retry_after_s(self, now: float) -> float:
         """Return the retry delay of a request that was given up."""
         self._decay_counters(now)
+        if self.start_limit.starts_per_s(now):
+            room_at = self.start_limit.earliest_start(now, len(self.waiting))
+            return self.start_limit.room_in_s(now, room_at, self.rejections)
         return self._retry_after_s(0.0)
 
     def _misses_deadline(self, entry: QueueEntry, now: float) -> bool:
@@ -369,6 +437,7 @@
         self.rejections *= factor
         for level in self.admitted_s:
             self.admitted_s[level] *= factor
+            self.admitted[level] *= factor
         self.decayed_at = now
 
     def _retry_after_s(self, wait_s: float) -> float:
--- a/tests/support/local_processes.py
+++ b/tests/support/local_processes.py
@@ -7,9 +7,11 @@
 import asyncio
 import collections.abc
 import concurrent.futures
+import random
 import typing
 
 from bronzepaddle import clocks, ids
+from bronzepaddle.load import cold_servers
 from bronzepaddle_backend import server_tracker
 from bronzepaddle_node import crash_detector, held_keys, local_backend
 from bronzepaddle_peers import pacing, stream_messages
@@ -62,10 +64,16 @@
 def backend(
     clock: clocks.Clock,
     slots: int,
+    cold_per_s: float = 0.0,
     **changes: typing.Any,
 ) -> local_backend.LocalBackend:
-    """Return the backend of a process whose server has announced itself."""
+    """Return the backend of a process whose server has announced itself.
+
+    The process has just started.
+    """
     tracker = server_tracker.Tracker(1.0)
+    start_limit = cold_servers.StartLimit(clock.now(), random.Random(1))
+    start_limit.rate = cold_per_s
     local = local_backend.LocalBackend(
         ME,
         header_names.SERVER_HEADERS,
@@ -74,6 +82,7 @@
         UnfinishedWork(),
         crash_detector.CrashDetector(clock, lambda: None),
         pacing.Pacer(None, clock),
+        start_limit,
         clock,
         lambda: None,
     )
--- a/tests/test_load_balancing.py
+++ b/tests/test_load_balancing.py
@@ -101,3 +101,65 @@
     """
     shares = [share_without_free_slot(seed) for seed in (1, 2, 3)]
     assert max(shares) < 0.12
+
+
+COLD_SERVERS: typing.Final = 7
+COLD_PER_S: typing.Final = 2.0
+
+
+def cold_requests_per_s(starts_known: bool, seed: int) -> float:
+    """Simulate many processes when some servers have come back cold.
+
+    A cold server can be sent ``COLD_PER_S`` requests per second; the others
+    have slots to spare.  A process knows the load in each server's last status
+    and the requests that it has sent since.  Returns the mean number of
+    requests per second that each cold server is asked to run.
+    """
+    rng = random.Random(seed)
+    duration_s = 20.0
+    running: list[list[float]] = [[] for _ in range(SERVERS)]
+    # By cold server: when what it was sent last leaves the limit.
+    busy_until = [0.0] * COLD_SERVERS
+    reported = [0] * SERVERS
+    now, status_at, cold_requests = 0.0, 0.0, 0
+    while now < duration_s:
+        now += rng.expovariate(REQUESTS_PER_S)
+        if now >= status_at:
+            status_at = now + STATUS_S
+            running = [[end for end in ends if end > now] for ends in running]
+            reported = [len(ends) for ends in running]
+        candidates = [
+            dataclasses.replace(
+                MEASURED,
+                member=ids.MemberId(str(server)),
+                slots=SLOTS,
+                outstanding=reported[server],
+                service_s=SERVICE_S,
+                cold=server < COLD_SERVERS,
+                starts_per_s=(
+                    COLD_PER_S
+                    if server < COLD_SERVERS and starts_known
+                    else 0.0
+                ),
+            )
+            for server in range(SERVERS)
+        ]
+        server = int(str(load_balancing.choose_server(candidates, rng)))
+        starts_at = now
+        if server < COLD_SERVERS:
+            cold_requests += 1
+            starts_at = max(now, busy_until[server])
+            if starts_at - now > SERVICE_S:
+                # Rejected by the process beside it.
+                continue
+            busy_until[server] = starts_at + 1 / COLD_PER_S
+        running[server].append(starts_at + SERVICE_S)
+    return cold_requests / duration_s / COLD_SERVERS
+
+
+def test_cold_servers_are_asked_for_less_than_their_rate() -> None:
+    """Otherwise requests are sent to a server that has to reject them."""
+    for seed in (1, 2, 3):
+        unknown = cold_requests_per_s(False, seed)
+        known = cold_requests_per_s(True, seed)
+        assert known < COLD_PER_S < unknown
