Say why and for how long a request was given up

A request that was given up in the queue had no detail in its log line, and one that reached its deadline between two attempts had no Retry-After.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
@@ -260,9 +260,13 @@
         server_run.wake_waiters(self.clock.now())
         try:
             if not await waiter:
-                return self._reject(
+                return http_messages.rejection(
                     verdicts.Reason.TOO_LATE,
-                    server_run.queue.retry_after_s(self.clock.now()),
+                    self.name,
+                    retry_after_s=server_run.queue.retry_after_s(
+                        self.clock.now()
+                    ),
+                    detail="did not get a slot in time",
                 )
             reason = self._rejection_reason(server_run, request, DRAIN_GRACE_S)
             if reason is not None:
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
@@ -373,7 +373,9 @@
         progress.attempts += 1
         time_left_s = progress.deadline - now
         if time_left_s <= 0:
-            return self._reject(verdicts.Reason.TOO_LATE)
+            return self._reject(
+                verdicts.Reason.TOO_LATE, retry_after_s=RETRY_AFTER_S
+            )
         request = progress.request
         if self.local_backend.crash_detector.rejects(
             progress.service, request.method, request.target, request.body
