--- a/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
@@ -13,11 +13,12 @@
 import typing
 
 from bronzepaddle import clocks, http_messages, ids, logs, suspects, verdicts
-from bronzepaddle.load import key_load, server_queue
+from bronzepaddle.load import cold_servers, key_load, server_queue
 from bronzepaddle_backend import connections, server_tracker
 from bronzepaddle_peers import pacing, stream_client, stream_messages
 
 from bronzepaddle_node import crash_detector, held_keys, process_end
+from bronzepaddle_node.requests import server_runs
 
 DRAIN_GRACE_S: typing.Final = 1.0
 """Time for which a draining server is still sent requests.
@@ -29,48 +30,6 @@
 """Retry-After of rejections while the server or the key is being moved."""
 
 
-class ServerRun:
-    """One run of the backend server, with its connections and its queue.
-
-    A run lasts from a start of the server until it stops or crashes.
-    """
-
-    def __init__(
-        self,
-        announcement: server_tracker.Announcement,
-        connection_pool: connections.Connections,
-        queue: server_queue.ServerQueue,
-    ) -> None:
-        self.announcement = announcement
-        self.connections = connection_pool
-        self.queue = queue
-        # Whether the server has announced that it drains or leaves; its end is
-        # then no crash.
-        self.leaving = (
-            announcement.state is server_tracker.AnnouncedState.DRAINING
-        )
-        # The requests that wait for a slot, each with a future whose result
-        # is whether it got one.
-        self.slot_waiters: dict[
-            server_queue.QueueEntry, asyncio.Future[bool]
-        ] = {}
-        # The requests that were sent to the server and still hold a slot.
-        self.sent_entries: set[server_queue.QueueEntry] = set()
-
-    def wake_waiters(self, now: float) -> None:
-        """Wake the requests that get a slot and those that have expired."""
-        for entry in self.queue.remove_expired(now):
-            self._wake(entry, False)
-        for entry in self.queue.start_next(now):
-            self._wake(entry, True)
-
-    def _wake(self, entry: server_queue.QueueEntry, got_slot: bool) -> None:
-        """Give a waiting request the result of its wait."""
-        waiter = self.slot_waiters.pop(entry, None)
-        if waiter is not None and not waiter.done():
-            waiter.set_result(got_slot)
-
-
 class LocalBackend:
     """Runs requests on the backend server on the same VM."""
 
@@ -83,6 +42,7 @@
         workers: concurrent.futures.Executor,
         detector: crash_detector.CrashDetector,
         pacer: pacing.Pacer,
+        start_limit: cold_servers.StartLimit,
         clock: clocks.Clock,
         on_server_lost: collections.abc.Callable[[], None],
     ) -> None:
@@ -94,8 +54,12 @@
         self.held_keys = granted_keys
         self.workers = workers
         self.pacer = pacer
+        self.start_limit = start_limit
+        # The run of the server that was last logged as cold, empty if it was
+        # logged as warm.
+        self.cold_run = ""
         self.clock = clock
-        self.server_run: ServerRun | None = None
+        self.server_run: server_runs.ServerRun | None = None
         self.in_flight = 0
         self.process_end = process_end.NEVER
         self.key_load = key_load.KeyLoadCounter(clock.now())
@@ -107,6 +71,7 @@
 
         A new run of the server gets new connections and a new queue.
         """
+        self._record_coldness(announcement)
         current = self.server_run
         if (
             current is not None
@@ -116,6 +81,8 @@
             current.leaving |= (
                 announcement.state is server_tracker.AnnouncedState.DRAINING
             )
+            # A server that is warm again may be sent more at once.
+            current.wake_waiters(self.clock.now())
             return
         if current is not None:
             current.connections.close()
@@ -129,13 +96,37 @@
             self.header_names,
             self.clock.now,
         )
-        self.server_run = ServerRun(
+        self.server_run = server_runs.ServerRun(
             announcement,
             connection_pool,
-            server_queue.ServerQueue(announcement.slots, self.clock.now()),
+            server_queue.ServerQueue(
+                announcement.slots, self.clock.now(), self.start_limit
+            ),
+            self.clock,
         )
         self.held_keys.set_run(announcement.run)
 
+    def _record_coldness(
+        self, announcement: server_tracker.Announcement
+    ) -> None:
+        """Record how long the server is cold; log it if that has changed."""
+        now = self.clock.now()
+        self.start_limit.set_cold(announcement.warmup_left_s, now)
+        starts_per_s = self.start_limit.starts_per_s(now)
+        cold_run = announcement.run if starts_per_s else ""
+        if cold_run == self.cold_run:
+            return
+        self.cold_run = cold_run
+        if cold_run:
+            logs.server(
+                "cold",
+                cold_run,
+                f"{starts_per_s:.0f} requests per second at most for "
+                f"{announcement.warmup_left_s:.3f} s",
+            )
+        else:
+            logs.server("warm", announcement.run, "")
+
     def on_server_leaving(self, server_id: str) -> None:
         """Record that a server leaves: its end is then not a crash."""
         current = self.server_run
@@ -209,7 +200,11 @@
                 self.queue_state(),
             )
         return stream_client.Reply(
-            response, self.outstanding(), self.mean_service_s(), True
+            response,
+            self.outstanding(),
+            self.mean_service_s(),
+            True,
+            starts_per_s=self.start_limit.starts_per_s(self.clock.now()),
         )
 
     async def _respond(
@@ -237,12 +232,12 @@
         deadline = now + request.time_left_s
         decision = server_run.queue.submit(_request_profile(request), now)
         match decision:
-            case server_queue.Rejected(wait_s, retry_after_s):
+            case server_queue.Rejected():
                 return http_messages.rejection(
                     verdicts.Reason.TOO_LATE,
                     self.name,
-                    retry_after_s=retry_after_s,
-                    detail=f"expected to start in {wait_s:.3f} s",
+                    retry_after_s=decision.retry_after_s,
+                    detail=str(decision),
                 )
             case server_queue.QueueEntry():
                 return await self._wait_and_send(
@@ -253,7 +248,7 @@
 
     async def _wait_and_send(
         self,
-        server_run: ServerRun,
+        server_run: server_runs.ServerRun,
         entry: server_queue.QueueEntry,
         request: stream_messages.ForwardedRequest,
         deadline: float,
@@ -265,7 +260,14 @@
         server_run.wake_waiters(self.clock.now())
         try:
             if not await waiter:
-                return self._reject(verdicts.Reason.TOO_LATE)
+                return http_messages.rejection(
+                    verdicts.Reason.TOO_LATE,
+                    self.name,
+                    retry_after_s=server_run.queue.retry_after_s(
+                        self.clock.now()
+                    ),
+                    detail="did not get a slot in time",
+                )
             reason = self._rejection_reason(server_run, request, DRAIN_GRACE_S)
             if reason is not None:
                 return self._reject(reason, MOVING_RETRY_AFTER_S)
@@ -280,7 +282,7 @@
 
     async def _send(
         self,
-        server_run: ServerRun,
+        server_run: server_runs.ServerRun,
         entry: server_queue.QueueEntry,
         request: stream_messages.ForwardedRequest,
         deadline: float,
@@ -321,7 +323,7 @@
 
     def _on_worker_done(
         self,
-        server_run: ServerRun,
+        server_run: server_runs.ServerRun,
         entry: server_queue.QueueEntry,
         request: stream_messages.ForwardedRequest,
         cancellation: connections.Cancellation,
@@ -364,7 +366,7 @@
 
     def _rejection_reason(
         self,
-        server_run: ServerRun | None,
+        server_run: server_runs.ServerRun | None,
         request: stream_messages.ForwardedRequest,
         drain_grace_s: float = 0.0,
     ) -> verdicts.Reason | None:
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
@@ -373,7 +373,9 @@
         progress.attempts += 1
         time_left_s = progress.deadline - now
         if time_left_s <= 0:
-            return self._reject(verdicts.Reason.TOO_LATE)
+            return self._reject(
+                verdicts.Reason.TOO_LATE, retry_after_s=RETRY_AFTER_S
+            )
         request = progress.request
         if self.local_backend.crash_detector.rejects(
             progress.service, request.method, request.target, request.body
@@ -475,13 +477,14 @@
         )
         timed_out = False
         try:
-            async with asyncio.timeout(forwarded.time_left_s):
-                if member == self.name:
+            if member == self.name:
+                async with asyncio.timeout(forwarded.time_left_s):
                     reply = await self.local_backend.handle(forwarded)
-                else:
-                    reply = await self.peer_streams.send(
-                        member, peer.status.address, forwarded
-                    )
+            else:
+                # Knows at the deadline whether the request was written.
+                reply = await self.peer_streams.send(
+                    member, peer.status.address, forwarded
+                )
         except TimeoutError:
             timed_out = True
         finally:
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_client.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_client.py
@@ -30,6 +30,9 @@
 CONNECT_TIMEOUT_S: typing.Final = 0.4
 PULL_TIMEOUT_S: typing.Final = 0.7
 
+UNREACHABLE_RETRY_AFTER_S: typing.Final = 0.5
+"""Retry-After of a request that was not written to a stream in time."""
+
 _Stream: typing.TypeAlias = typing.Any
 
 
@@ -37,7 +40,8 @@
 class Reply:
     """A complete response from a peer, with the peer's load.
 
-    ``outstanding`` and ``service_s`` are the load, as in ``statuses.Status``.
+    ``outstanding``, ``service_s`` and ``starts_per_s`` are the load, as in
+    ``statuses.Status``.
     ``has_load`` is not set if the stream broke: the response is then a
     rejection made by this process, without the peer's load.
     """
@@ -46,6 +50,7 @@
     outstanding: int = 0
     service_s: float = 0.0
     has_load: bool = False
+    starts_per_s: float = 0.0
 
 
 class _Pending:
@@ -242,6 +247,22 @@
         keepalive.set_options(sock)
 
 
+def _rejection_at_deadline(
+    member: ids.MemberId, sent: bool
+) -> http_messages.Response:
+    """Return the rejection of a request without a reply at its deadline."""
+    if sent:
+        return http_messages.rejection(
+            verdicts.Reason.DEADLINE, member, verdicts.Verdict.MAY_HAVE_RUN
+        )
+    return http_messages.rejection(
+        verdicts.Reason.PEER_UNREACHABLE,
+        member,
+        retry_after_s=UNREACHABLE_RETRY_AFTER_S,
+        detail="nothing was written to the stream",
+    )
+
+
 def _reply(head: stream_messages.ResponseHead, pieces: list[bytes]) -> Reply:
     return Reply(
         http_messages.Response(
@@ -258,6 +279,7 @@
         head.outstanding,
         head.service_s,
         True,
+        starts_per_s=head.starts_per_s,
     )
 
 
@@ -287,14 +309,19 @@
     ) -> Reply:
         """Send a request and return the reply.
 
-        If the stream breaks, the reply contains a rejection.  Cancelling this
-        call cancels the request at the peer.
+        If the stream breaks, or there is no reply within the request's time,
+        the reply contains a rejection.  It says that the request has not run
+        only if no part of it was written.  Cancelling this call, or the end of
+        that time, cancels the request at the peer.
         """
         stream = self._stream_to(member, address)
         pending = _Pending(asyncio.get_running_loop().create_future())
         stream.send(request, pending)
         try:
-            return await pending.reply_future
+            async with asyncio.timeout(request.time_left_s):
+                return await pending.reply_future
+        except TimeoutError:
+            return Reply(_rejection_at_deadline(member, pending.sent))
         finally:
             if stream.pending.pop(request.number, None) is not None:
                 stream.outgoing.put_nowait(
--- a/packages/bronzepaddle/src/bronzepaddle/load/server_queue.py
+++ b/packages/bronzepaddle/src/bronzepaddle/load/server_queue.py
@@ -18,6 +18,12 @@
 - *Retries of rejected requests.*  Within a rank, a request whose target time
   has already passed goes behind the requests that can still be in time.
   Otherwise the retries would make every request late.
+- *Restarts.*  A cold server starts only as many requests in a second as it
+  tolerates (``cold_servers``).  The wait for that is part of the wait for
+  which a request is rejected.
+
+A request that still waits shortly before its deadline is given up then, so
+that its caller is told in time that it has not run.
 
 A request that must not be repeated may wait beyond its target time, because
 losing it is worse than serving it late.
@@ -30,6 +36,7 @@
 import typing
 
 from bronzepaddle import averages
+from bronzepaddle.load import cold_servers
 
 MEAN_WEIGHT: typing.Final = 0.1
 """Weight of the newest service time in the moving average of its kind."""
@@ -63,6 +70,13 @@
 MIN_RETRY_AFTER_S: typing.Final = 0.1
 """Minimum retry delay that a rejected request is given."""
 
+REFUSAL_MARGIN_S: typing.Final = 0.1
+"""Time before its deadline at which a waiting request is given up.
+
+It is the time for a refusal to reach the process that forwarded the request,
+which must otherwise assume at the deadline that the request may have run.
+"""
+
 DECAY_S: typing.Final = 1.0
 """Time constant of the exponential decay of the counters."""
 
@@ -111,10 +125,22 @@
     """The request does not run; it may be retried after a while.
 
     ``wait_s`` is the time that it was expected to wait for a slot.
+    ``starts_per_s`` is the rate of the cold server, if that is what it was
+    expected to wait for, otherwise 0.
     """
 
     wait_s: float
     retry_after_s: float
+    starts_per_s: float = 0.0
+
+    def __str__(self) -> str:
+        expected = f"expected to start in {self.wait_s:.3f} s"
+        if not self.starts_per_s:
+            return expected
+        return (
+            f"{expected}: the server is cold and gets {self.starts_per_s:.0f} "
+            f"requests per second, room in {self.retry_after_s:.3f} s"
+        )
 
 
 class QueueEntry:
@@ -141,10 +167,19 @@
 
 
 class ServerQueue:
-    """The queue of one server that runs ``slots`` requests at a time."""
+    """The queue of one server that runs ``slots`` requests at a time.
 
-    def __init__(self, slots: int, now: float) -> None:
+    ``start_limit`` limits how many it starts in a second; None if it doesn't.
+    """
+
+    def __init__(
+        self,
+        slots: int,
+        now: float,
+        start_limit: cold_servers.StartLimit | None = None,
+    ) -> None:
         self.slots = slots
+        self.start_limit = start_limit or cold_servers.unlimited(now)
         self.waiting: list[QueueEntry] = []
         self.running = 0
         self.running_by_kind: collections.Counter[str] = collections.Counter()
@@ -155,6 +190,8 @@
         self.overall_mean_service_s = 0.0
         # Expected service time of the admitted requests, decaying over time.
         self.admitted_s: dict[Level, float] = {}
+        # Their number, decaying likewise.
+        self.admitted: dict[Level, float] = {}
         self.rejected_at: dict[Level, float] = {}
         self.arrivals = 0.0
         self.rejections = 0.0
@@ -167,15 +204,19 @@
         self._decay_counters(now)
         self.arrivals += 1
         entry = QueueEntry(profile, now)
-        wait_s = self.expected_wait_s(entry)
+        slot_wait_s = self.expected_wait_s(entry)
+        start_wait_s = self.expected_start_wait_s(entry, now)
         mean_s = self.mean_s(profile.kind)
-        if wait_s > allowed_wait_s(profile, mean_s):
+        allowed_s = allowed_wait_s(profile, mean_s)
+        if max(slot_wait_s, start_wait_s) > allowed_s:
             self.rejections += 1
             self.rejected_at[profile.level] = now
-            return Rejected(wait_s, self._retry_after_s(wait_s))
-        self.admitted_s[profile.level] = (
-            self.admitted_s.get(profile.level, 0.0) + mean_s
-        )
+            if slot_wait_s < start_wait_s:
+                return self._reject_for_rate(start_wait_s, now)
+            return Rejected(slot_wait_s, self._retry_after_s(slot_wait_s))
+        level = profile.level
+        self.admitted_s[level] = self.admitted_s.get(level, 0.0) + mean_s
+        self.admitted[level] = self.admitted.get(level, 0.0) + 1
         self.waiting.append(entry)
         return entry
 
@@ -194,6 +235,33 @@
         slots = self._available_slots(entry.profile.level)
         return (ahead_s + self.mean_s(entry.profile.kind)) / slots
 
+    def expected_start_wait_s(self, entry: QueueEntry, now: float) -> float:
+        """Return the expected wait for the rate of a cold server."""
+        if not self.start_limit.starts_per_s(now):
+            return 0.0
+        ahead = sum(
+            earlier is not entry and earlier.sort_key <= entry.sort_key
+            for earlier in self.waiting
+        )
+        level = entry.profile.level
+        used_per_s = sum(
+            count / DECAY_S
+            for other_level, count in self.admitted.items()
+            if other_level < level
+        )
+        return self.start_limit.expected_wait_s(now, ahead, used_per_s)
+
+    def _reject_for_rate(self, wait_s: float, now: float) -> Rejected:
+        """Reject a request that the rate of a cold server leaves no room."""
+        limit = self.start_limit
+        limit.rejected += 1
+        room_at = limit.earliest_start(now, len(self.waiting))
+        return Rejected(
+            wait_s,
+            limit.room_in_s(now, room_at, self.rejections),
+            limit.starts_per_s(now),
+        )
+
     def _available_slots(self, level: Level) -> float:
         """Return the slots that more urgent levels leave to a level.
 
@@ -220,7 +288,12 @@
     def start_next(self, now: float) -> list[QueueEntry]:
         """Start waiting requests on the free slots; return them."""
         started: list[QueueEntry] = []
-        while self.waiting and self.running < self.slots:
+        while (
+            self.waiting
+            and self.running < self.slots
+            and self.start_limit.earliest_start(now) <= now
+        ):
+            self.start_limit.record_start(now)
             entry = min(self.waiting, key=lambda entry: entry.sort_key)
             self.waiting.remove(entry)
             entry.state = State.RUNNING
@@ -247,6 +320,49 @@
             entry.state = State.DONE
         return expired
 
+    def remove_unstarted(self, now: float) -> list[QueueEntry]:
+        """Remove and return requests that are given up unless started now.
+
+        To be called after ``start_next``: what could start has started.
+        """
+        unstarted = [
+            entry
+            for entry in self.waiting
+            if now + REFUSAL_MARGIN_S >= entry.deadline
+        ]
+        for entry in unstarted:
+            self.waiting.remove(entry)
+            entry.state = State.DONE
+        return unstarted
+
+    def next_change_at(self, now: float) -> float | None:
+        """Return when a waiting request starts or is given up by itself.
+
+        Returns None if none is waiting.  Until then, only an event can change
+        what waits.
+        """
+        if not self.waiting:
+            return None
+        given_up_at = min(self._given_up_at(entry) for entry in self.waiting)
+        if self.running < self.slots:
+            return min(given_up_at, self.start_limit.earliest_start(now))
+        return given_up_at
+
+    def _given_up_at(self, entry: QueueEntry) -> float:
+        """Return the time at which a request is given up if it still waits."""
+        margin_s = REFUSAL_MARGIN_S
+        if not entry.corrects_mean:
+            margin_s = max(margin_s, self.mean_s(entry.profile.kind) / 2)
+        return entry.deadline - margin_s
+
+    def retry_after_s(self, now: float) -> float:
+        """Return the retry delay of a request that was given up."""
+        self._decay_counters(now)
+        if self.start_limit.starts_per_s(now):
+            room_at = self.start_limit.earliest_start(now, len(self.waiting))
+            return self.start_limit.room_in_s(now, room_at, self.rejections)
+        return self._retry_after_s(0.0)
+
     def _misses_deadline(self, entry: QueueEntry, now: float) -> bool:
         """Return whether a waiting request would miss its deadline."""
         return now + self.mean_s(entry.profile.kind) / 2 > entry.deadline
@@ -258,6 +374,8 @@
         become too high, for instance after the whole process was frozen, and
         only a request that runs corrects it.
         """
+        if entry.corrects_mean:
+            return now < entry.deadline
         kind = entry.profile.kind
         estimate_age_s = now - self.estimated_at.get(kind, now)
         is_outdated = (
@@ -319,6 +437,7 @@
         self.rejections *= factor
         for level in self.admitted_s:
             self.admitted_s[level] *= factor
+            self.admitted[level] *= factor
         self.decayed_at = now
 
     def _retry_after_s(self, wait_s: float) -> float:
