Learn what requests cost, and send them where they end first

Requests of one route can differ in cost by ten, but one mean for each route decided how long a server is busy and which server is chosen. The relative cost of a request is now learned from its features (shape of the target, length of the body, group of keys, caller): at the process beside the server for its queue, and from the replies at each process for its choice. Replies and statuses carry the backlog, the time until a request would start. The speed that a server reports counts while it is fresh and as far as it proved true; a request that fails at once does not make a server look fast.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -21,7 +21,11 @@
 import typing
 
 from bronzepaddle import ids
-from bronzepaddle.load import load_balancing, server_queue
+from bronzepaddle.load import (
+    expected_cost,
+    load_balancing,
+    server_queue,
+)
 
 ROOT: typing.Final = pathlib.Path(__file__).parent.parent
 RESULTS: typing.Final = ROOT / "bench" / "results" / "decisions.json"
@@ -36,6 +40,7 @@
 OVERLOAD_S: typing.Final = (8.0, 18.0)
 """Start and end of the time in which a load departs from the usual one."""
 
+SERVICE: typing.Final = "service"
 MAX_ATTEMPTS: typing.Final = 3
 SEEDS: typing.Final = (1, 2, 3)
 
@@ -72,7 +77,8 @@
     of requests, and the speed of the second server is divided by
     ``slowdown``.  With ``cold_start``, all servers run at half speed for the
     first four seconds.  With ``immediate_retry``, rejected requests are
-    repeated after 50 ms.
+    repeated after 50 ms.  With ``uneven_costs``, one path of each class costs
+    ten times as much as the others, at the same mean.
     """
 
     name: str
@@ -80,6 +86,14 @@
     slowdown: float = 1.0
     cold_start: bool = False
     immediate_retry: bool = False
+    uneven_costs: bool = False
+
+
+PATHS: typing.Final = 10
+DEAR_PATH: typing.Final = 0
+CHEAP_COST: typing.Final = PATHS / (PATHS - 1 + 10)
+DEAR_COST: typing.Final = 10 * CHEAP_COST
+"""Costs of the paths of a load with uneven costs; their mean is 1."""
 
 
 LOADS: typing.Final = (
@@ -89,28 +103,50 @@
     Load("slow server", slowdown=5.0),
     Load("all servers start cold", cold_start=True),
     Load("retry storm", {"read": 1.6}, immediate_retry=True),
+    Load("uneven costs", uneven_costs=True),
+    Load("uneven costs, slow server", slowdown=5.0, uneven_costs=True),
+    Load("uneven costs, many reports", {"report": 3.0}, uneven_costs=True),
 )
 
 
 class QueueKind(enum.Enum):
     """Which requests wait and which are rejected.
 
-    ``ROUTER`` is the router's own queue.
+    ``ROUTER`` is the router's own queue, ``ONE_MEAN`` the same with one mean
+    service time for each class of requests.
     """
 
     FIFO = "one FIFO"
     ROUTER = "decision"
+    ONE_MEAN = "one mean"
 
 
 class BalancingKind(enum.Enum):
     """How the server of a request is chosen.
 
-    ``ROUTER`` is the router's own load balancing.
+    ``ROUTER`` is the router's own load balancing, ``ONE_MEAN`` the same with
+    nothing known but the number of requests and the mean service time.
     """
 
     ROUND_ROBIN = "round robin"
     LEAST_OUTSTANDING = "least outstanding"
     ROUTER = "decision"
+    ONE_MEAN = "one mean"
+
+
+COMBINATIONS: typing.Final = (
+    *itertools.product(
+        (QueueKind.FIFO, QueueKind.ROUTER),
+        (
+            BalancingKind.ROUND_ROBIN,
+            BalancingKind.LEAST_OUTSTANDING,
+            BalancingKind.ROUTER,
+        ),
+    ),
+    (QueueKind.ONE_MEAN, BalancingKind.ONE_MEAN),
+)
+"""The compared combinations; the last one is that before costs were learned.
+"""
 
 
 class FifoQueue(server_queue.ServerQueue):
@@ -133,6 +169,7 @@
             entry.state = server_queue.State.RUNNING
             entry.started = now
             self.running += 1
+            self.running_entries.add(entry)
             started.append(entry)
         return started
 
@@ -143,8 +180,14 @@
 
     request_class: RequestClass
     arrived_at: float
+    path: int
     attempts: int = 0
 
+    @property
+    def features(self) -> expected_cost.Features:
+        """Return the features by which costs may be learned."""
+        return (self.request_class.name, self.path)
+
     @property
     def deadline(self) -> float:
         """Return the time at which the caller gives up."""
@@ -168,12 +211,22 @@
         self.balancing = balancing
         self.load = load
         self.rng = random.Random(seed)
+        self.path_rng = random.Random(seed)
         queue_class = (
             FifoQueue
             if queue_kind is QueueKind.FIFO
             else server_queue.ServerQueue
         )
-        self.queues = [queue_class(SLOTS, 0.0) for _ in SPEEDS]
+        max_values = (
+            0
+            if queue_kind is QueueKind.ONE_MEAN
+            else expected_cost.DEFAULT_MAX_VALUES
+        )
+        self.queues = [
+            queue_class(SLOTS, 0.0, expected_cost.CostModel(max_values))
+            for _ in SPEEDS
+        ]
+        self.costs = expected_cost.CostModel(max_values)
         self.requests: dict[server_queue.QueueEntry, tuple[int, Request]] = {}
         self.round_robin = itertools.count()
         self.events: list[tuple[float, int, typing.Any]] = []
@@ -192,7 +245,8 @@
         for request_class in REQUEST_CLASSES:
             for time in self._arrival_times(request_class):
                 self.arrivals[request_class.name] += 1
-                self.schedule(time, Request(request_class, time))
+                path = self.path_rng.randrange(PATHS)
+                self.schedule(time, Request(request_class, time, path))
         while self.events:
             now, _, event = heapq.heappop(self.events)
             if isinstance(event, Request):
@@ -231,11 +285,13 @@
             left_s,
             request_class.idempotent,
             now - request.arrived_at > request_class.target_s,
+            request.features,
+            self.costs.factor(SERVICE, request.features, now),
         )
         retry_after_s = 0.0
         untried = list(range(len(SPEEDS)))
         while untried:
-            server = self._choose_server(untried)
+            server = self._choose_server(untried, profile, now)
             untried.remove(server)
             match self.queues[server].submit(profile, now):
                 case server_queue.Rejected(_, retry_after_s):
@@ -250,7 +306,12 @@
                 after_s = 0.05
             self.schedule(now + after_s, request)
 
-    def _choose_server(self, untried: list[int]) -> int:
+    def _choose_server(
+        self,
+        untried: list[int],
+        profile: server_queue.RequestProfile,
+        now: float,
+    ) -> int:
         """Return the server to try next."""
         match self.balancing:
             case BalancingKind.ROUND_ROBIN:
@@ -265,30 +326,55 @@
                 )
             case BalancingKind.ROUTER:
                 candidates = [
-                    load_balancing.Candidate(
-                        ids.MemberId(str(server)),
-                        SLOTS,
-                        self.queues[server].outstanding(),
-                        self.queues[server].overall_mean_s(),
-                        False,
-                        True,
+                    dataclasses.replace(
+                        self._candidate(server),
+                        backlog_s=self.queues[server].backlog_s(now),
                     )
                     for server in untried
                 ]
                 return int(
-                    load_balancing.choose_server(candidates, self.rng) or 0
+                    load_balancing.choose_server(
+                        candidates, self.rng, profile.relative_cost
+                    )
+                    or 0
+                )
+            case BalancingKind.ONE_MEAN:
+                return min(
+                    untried,
+                    key=lambda server: (
+                        latency_by_one_mean_s(self._candidate(server))
+                        * self.rng.uniform(0.9, 1.1)
+                    ),
                 )
             case never:
                 typing.assert_never(never)
 
+    def _candidate(self, server: int) -> load_balancing.Candidate:
+        """Return what is known of a server without its backlog."""
+        queue = self.queues[server]
+        return load_balancing.Candidate(
+            ids.MemberId(str(server)),
+            SLOTS,
+            queue.outstanding(),
+            queue.overall_mean_s(),
+            False,
+            True,
+        )
+
     def _start_requests(self, server: int, now: float) -> None:
         """Drop the expired requests of a server and start the next ones."""
         queue = self.queues[server]
         for entry in queue.remove_expired(now):
             self.requests.pop(entry, None)
         for entry in queue.start_next(now):
-            request_class = self.requests[entry][1].request_class
-            took_s = self.rng.lognormvariate(0.0, 0.5) * request_class.work_s
+            request = self.requests[entry][1]
+            took_s = (
+                self.rng.lognormvariate(0.0, 0.5)
+                * request.request_class.work_s
+            )
+            if self.load.uneven_costs:
+                is_dear = request.path == DEAR_PATH
+                took_s *= DEAR_COST if is_dear else CHEAP_COST
             self.schedule(now + took_s / self._speed(server, now), entry)
 
     def _speed(self, server: int, now: float) -> float:
@@ -304,7 +390,13 @@
     def _finish(self, entry: server_queue.QueueEntry, now: float) -> None:
         """Record the latency of a request and free its slot."""
         server, request = self.requests.pop(entry)
-        self.queues[server].remove(entry, now, True)
+        queue = self.queues[server]
+        mean_s = queue.overall_mean_s()
+        queue.remove(entry, now, True)
+        if mean_s:
+            self.costs.record(
+                SERVICE, request.features, entry.run_s / mean_s, now
+            )
         if now <= request.deadline:
             self.latencies_s[request.request_class.name].append(
                 now - request.arrived_at
@@ -312,6 +404,13 @@
         self._start_requests(server, now)
 
 
+def latency_by_one_mean_s(candidate: load_balancing.Candidate) -> float:
+    """Return the latency that was expected before costs were learned."""
+    service_s = candidate.service_s or load_balancing.DEFAULT_SERVICE_S
+    rounds = max(1.0, (candidate.outstanding + 1) / candidate.slots)
+    return service_s * rounds * (1 + candidate.outstanding / candidate.slots)
+
+
 def simulate(
     queue_kind: QueueKind, balancing: BalancingKind, load: Load
 ) -> dict[str, dict[str, float]]:
@@ -352,26 +451,25 @@
     """Simulate every combination, print the table and write the results."""
     rows = []
     for load in LOADS:
-        for queue_kind in QueueKind:
-            for balancing in BalancingKind:
-                results = simulate(queue_kind, balancing, load)
-                rows.append(
-                    {
-                        "load": load.name,
-                        "line": queue_kind.value,
-                        "choice": balancing.value,
-                        "kinds": results,
-                    }
-                )
-                shares = "  ".join(
-                    f"{name} {result['in_time']:.3f} {result['answered']:.3f} "
-                    f"{result['p99_s']:5.2f}"
-                    for name, result in results.items()
-                )
-                print(
-                    f"{load.name:26} {queue_kind.value:9} "
-                    f"{balancing.value:18} {shares}"
-                )
+        for queue_kind, balancing in COMBINATIONS:
+            results = simulate(queue_kind, balancing, load)
+            rows.append(
+                {
+                    "load": load.name,
+                    "line": queue_kind.value,
+                    "choice": balancing.value,
+                    "kinds": results,
+                }
+            )
+            shares = "  ".join(
+                f"{name} {result['in_time']:.3f} {result['answered']:.3f} "
+                f"{result['p99_s']:5.2f}"
+                for name, result in results.items()
+            )
+            print(
+                f"{load.name:26} {queue_kind.value:9} "
+                f"{balancing.value:18} {shares}"
+            )
     RESULTS.write_text(json.dumps(rows, indent=1) + "\n", encoding="utf-8")
 
 
--- a/packages/bronzepaddle-backend/src/bronzepaddle_backend/connections.py
+++ b/packages/bronzepaddle-backend/src/bronzepaddle_backend/connections.py
@@ -63,8 +63,9 @@
     ``deadline_ms``, the remaining time in milliseconds, ``server_id``, the id
     of the server that the request is for, and ``caller_service``.  Received:
     ``not_run`` marks the response to a request that the server did not run;
-    ``signature`` marks responses made by the server itself and is empty if
-    the deployment has no such header.
+    ``signature`` marks responses made by the server itself and ``server_load``
+    contains the server's load; each is empty if the deployment has no such
+    header.
     """
 
     request_id: str
@@ -73,6 +74,7 @@
     caller_service: str
     not_run: str
     signature: str
+    server_load: str = ""
 
     def reserved_names(self) -> frozenset[str]:
         """Return the names that only this process may set, in lower case."""
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
@@ -13,8 +13,8 @@
 import typing
 
 from bronzepaddle import clocks, http_messages, ids, logs, suspects, verdicts
-from bronzepaddle.load import key_load, server_queue
-from bronzepaddle_backend import connections, server_tracker
+from bronzepaddle.load import expected_cost, key_load, server_queue
+from bronzepaddle_backend import connections, server_load, server_tracker
 from bronzepaddle_peers import pacing, stream_client, stream_messages
 
 from bronzepaddle_node import crash_detector, held_keys, process_end
@@ -85,8 +85,12 @@
         pacer: pacing.Pacer,
         clock: clocks.Clock,
         on_server_lost: collections.abc.Callable[[], None],
+        costs: expected_cost.CostModel,
     ) -> None:
         self.name = name
+        # Kept from one run of the server to the next: the costs of requests
+        # in relation to each other stay the same.
+        self.costs = costs
         self.crash_detector = detector
         self.on_server_lost = on_server_lost
         self.header_names = header_names
@@ -132,7 +136,9 @@
         self.server_run = ServerRun(
             announcement,
             connection_pool,
-            server_queue.ServerQueue(announcement.slots, self.clock.now()),
+            server_queue.ServerQueue(
+                announcement.slots, self.clock.now(), self.costs
+            ),
         )
         self.held_keys.set_run(announcement.run)
 
@@ -162,6 +168,14 @@
             else self.server_run.queue.overall_mean_s()
         )
 
+    def backlog_s(self) -> float:
+        """Return the expected time until a request that arrives now starts."""
+        return (
+            0.0
+            if self.server_run is None
+            else self.server_run.queue.backlog_s(self.clock.now())
+        )
+
     async def handle_from_peer(
         self, request: stream_messages.ForwardedRequest
     ) -> stream_client.Reply:
@@ -172,13 +186,16 @@
         """
         server_run = self.server_run
         link_delay_s = self.pacer.queueing_delay_s(request.route)
-        mean_s = (
+        if link_delay_s == 0.0:
+            return await self.handle(request)
+        profile = _request_profile(request)
+        expected_s = (
             0.0
             if server_run is None
-            else server_run.queue.mean_s(request.route)
+            else server_run.queue.expected_s(profile, self.clock.now())
         )
-        bound_s = server_queue.latency_bound_s(_request_profile(request))
-        if link_delay_s == 0.0 or link_delay_s + mean_s <= bound_s:
+        bound_s = server_queue.latency_bound_s(profile)
+        if link_delay_s + expected_s <= bound_s:
             return await self.handle(request)
         response = http_messages.rejection(
             verdicts.Reason.TOO_LATE,
@@ -192,12 +209,29 @@
         self, request: stream_messages.ForwardedRequest
     ) -> stream_client.Reply:
         """Return the reply to a request from a peer or from this process."""
-        return self._reply(request, await self._respond(request))
+        server_run = self.server_run
+        if server_run is None:
+            return self._reply(
+                request,
+                self._reject(verdicts.Reason.NO_BACKEND, MOVING_RETRY_AFTER_S),
+            )
+        admitted = self._admit(server_run, request)
+        match admitted:
+            case http_messages.Response():
+                return self._reply(request, admitted)
+            case server_queue.QueueEntry():
+                response = await self._wait_and_send(
+                    server_run, admitted, request
+                )
+                return self._reply(request, response, admitted.run_s)
+            case _:
+                typing.assert_never(admitted)
 
     def _reply(
         self,
         request: stream_messages.ForwardedRequest,
         response: http_messages.Response,
+        run_s: float = 0.0,
     ) -> stream_client.Reply:
         """Add the load of this process to a response; log a rejection."""
         if response.verdict is verdicts.Verdict.NOT_RUN:
@@ -209,19 +243,23 @@
                 self.queue_state(),
             )
         return stream_client.Reply(
-            response, self.outstanding(), self.mean_service_s(), True
+            response,
+            self.outstanding(),
+            self.mean_service_s(),
+            True,
+            self.backlog_s(),
+            run_s,
         )
 
-    async def _respond(
-        self, request: stream_messages.ForwardedRequest
-    ) -> http_messages.Response:
-        """Queue and run a request, or reject it on arrival."""
-        server_run = self.server_run
+    def _admit(
+        self,
+        server_run: ServerRun,
+        request: stream_messages.ForwardedRequest,
+    ) -> server_queue.QueueEntry | http_messages.Response:
+        """Queue a request, or reject it on arrival."""
         reason = self._rejection_reason(server_run, request)
-        if reason is not None or server_run is None:
-            return self._reject(
-                reason or verdicts.Reason.NO_BACKEND, MOVING_RETRY_AFTER_S
-            )
+        if reason is not None:
+            return self._reject(reason, MOVING_RETRY_AFTER_S)
         if self.crash_detector.rejects(
             request.service, request.method, request.target, request.body
         ):
@@ -229,13 +267,15 @@
                 verdicts.Reason.SUSPECT, crash_detector.REJECTION_S
             )
         if request.key >= 0:
-            self.key_load.count(request.key)
+            self.key_load.count(request.key, request.relative_cost)
         now = self.clock.now()
-        mean_s = server_run.queue.mean_s(request.route)
-        if not self.process_end.may_begin(now, mean_s, request.time_left_s):
+        profile = _request_profile(request)
+        expected_s = server_run.queue.expected_s(profile, now)
+        if not self.process_end.may_begin(
+            now, expected_s, request.time_left_s
+        ):
             return self._reject(verdicts.Reason.DRAINING, MOVING_RETRY_AFTER_S)
-        deadline = now + request.time_left_s
-        decision = server_run.queue.submit(_request_profile(request), now)
+        decision = server_run.queue.submit(profile, now)
         match decision:
             case server_queue.Rejected(wait_s, retry_after_s):
                 return http_messages.rejection(
@@ -245,9 +285,7 @@
                     detail=f"expected to start in {wait_s:.3f} s",
                 )
             case server_queue.QueueEntry():
-                return await self._wait_and_send(
-                    server_run, decision, request, deadline
-                )
+                return decision
             case _:
                 typing.assert_never(decision)
 
@@ -256,7 +294,6 @@
         server_run: ServerRun,
         entry: server_queue.QueueEntry,
         request: stream_messages.ForwardedRequest,
-        deadline: float,
     ) -> http_messages.Response:
         """Wait for a slot, then send; a request not sent leaves the queue."""
         self.in_flight += 1
@@ -269,7 +306,7 @@
             reason = self._rejection_reason(server_run, request, DRAIN_GRACE_S)
             if reason is not None:
                 return self._reject(reason, MOVING_RETRY_AFTER_S)
-            return await self._send(server_run, entry, request, deadline)
+            return await self._send(server_run, entry, request)
         finally:
             self.in_flight -= 1
             server_run.slot_waiters.pop(entry, None)
@@ -283,7 +320,6 @@
         server_run: ServerRun,
         entry: server_queue.QueueEntry,
         request: stream_messages.ForwardedRequest,
-        deadline: float,
     ) -> http_messages.Response:
         """Send a request to the server on a worker thread.
 
@@ -297,7 +333,7 @@
             target=request.target,
             headers=request.headers,
             body=request.body,
-            deadline=deadline,
+            deadline=entry.deadline,
             idempotent=request.idempotent,
         )
         cancellation = connections.Cancellation()
@@ -336,7 +372,10 @@
         response = None if future.cancelled() else future.result()
         ran = response is not None and response.verdict is verdicts.Verdict.RAN
         server_run.sent_entries.discard(entry)
-        server_run.queue.remove(entry, now, ran)
+        failed = response is not None and response.status >= 500
+        if response is not None:
+            self._record_reported_speed(server_run, response, now)
+        server_run.queue.remove(entry, now, ran, failed)
         server_run.wake_waiters(now)
         if response is None:
             return
@@ -362,6 +401,19 @@
             self.tracker.unreachable = True
             self.on_server_lost()
 
+    def _record_reported_speed(
+        self,
+        server_run: ServerRun,
+        response: http_messages.Response,
+        now: float,
+    ) -> None:
+        """Record the speed that the server reports in a response, if any."""
+        slowness = server_load.slowness(
+            response.headers, self.header_names.server_load
+        )
+        if slowness is not None:
+            server_run.queue.speed.report(slowness, now)
+
     def _rejection_reason(
         self,
         server_run: ServerRun | None,
@@ -416,4 +468,12 @@
         time_left_s=request.time_left_s,
         idempotent=request.idempotent,
         late=request.late,
+        features=expected_cost.request_features(
+            request.method,
+            request.target,
+            len(request.body),
+            request.key,
+            request.caller_service,
+        ),
+        relative_cost=request.relative_cost,
     )
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/peer_table.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/peer_table.py
@@ -53,6 +53,7 @@
         self.in_flight_at_report = 0
         self.outstanding = status.outstanding
         self.service_s = status.service_s
+        self.backlog_s = status.backlog_s
 
     def update(self, status: statuses.Status, now: float) -> bool:
         """Update from a status; return whether it is newer."""
@@ -68,13 +69,18 @@
             return False
         self.status = status
         self.heard_at = self.status_received_at = now
-        self.record_load(status.outstanding, status.service_s)
+        self.record_load(
+            status.outstanding, status.service_s, status.backlog_s
+        )
         return True
 
-    def record_load(self, outstanding: int, service_s: float) -> None:
+    def record_load(
+        self, outstanding: int, service_s: float, backlog_s: float
+    ) -> None:
         """Replace the load by the one that the peer reports."""
         self.outstanding = outstanding
         self.service_s = service_s
+        self.backlog_s = backlog_s
         self.in_flight_at_report = self.in_flight
 
     def load(self) -> int:
@@ -186,6 +192,8 @@
             peer.service_s,
             status.warmup_left_s > 0,
             status.zone == self.zone,
+            peer.backlog_s,
+            peer.in_flight - peer.in_flight_at_report,
         )
 
     def record_reply(
@@ -199,6 +207,8 @@
         peer.in_flight -= 1
         if reply.has_load:
             peer.heard_at = max(peer.heard_at, now)
-            peer.record_load(reply.outstanding, reply.service_s)
+            peer.record_load(
+                reply.outstanding, reply.service_s, reply.backlog_s
+            )
         elif peer.status.sender != self.own_name:
             peer.avoid_until = now + AVOID_S
--- /dev/null
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/requests/__init__.py
@@ -0,0 +1,1 @@
+"""How a process routes the requests of its callers."""
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
@@ -40,6 +40,7 @@
     process_end,
     sidecar_metrics,
 )
+from bronzepaddle_node.requests import relative_costs
 
 RESPONSE_MARGIN_S: typing.Final = 0.02
 """Time reserved for returning a response before its deadline."""
@@ -74,7 +75,8 @@
     was sent, and ``server_attempts`` those that may have reached a backend
     server, even if it shed the request.  ``tried_members`` are the processes
     that are not chosen again.  ``sent_attempts`` are the attempts that were
-    sent to a process, for the log.
+    sent to a process, for the log.  ``cost`` is what the request is expected
+    to cost.
     """
 
     request: buffered_app.BufferedRequest
@@ -84,6 +86,7 @@
     owner_wait_until: float
     keyed: bool
     late: bool
+    cost: relative_costs.Cost
     attempts: int = 0
     server_attempts: int = 0
     tried_members: set[ids.MemberId] = dataclasses.field(default_factory=set)
@@ -104,6 +107,7 @@
         metrics_recorder: sidecar_metrics.SidecarMetrics,
         clock: clocks.Clock,
         rng: random.Random,
+        costs: relative_costs.RelativeCosts | None = None,
     ) -> None:
         self.name = name
         self.caller_service = caller_service
@@ -114,6 +118,7 @@
         self.metrics_recorder = metrics_recorder
         self.clock = clock
         self.rng = rng
+        self.costs = costs or relative_costs.RelativeCosts()
         self.route_table: route_table.Table | None = None
         self.traffic_splitter = route_table.TrafficSplitter()
         # By route: the longest time that a request had on arrival until its
@@ -242,6 +247,18 @@
             + OWNER_WAIT_SHARE * min(route.target_s, time_left_s),
             keyed=keyed,
             late=self._is_late_retry(request, route),
+            cost=self.costs.expected(
+                relative_costs.Request(
+                    service,
+                    route.name,
+                    request.method,
+                    request.target,
+                    len(request.body),
+                    request.key if keyed else buffered_app.NO_KEY,
+                    self.caller_service,
+                ),
+                started_at,
+            ),
         )
 
     def _is_late_retry(
@@ -393,9 +410,14 @@
         member = peer.status.sender
         progress.tried_members.add(member)
         heard_ago_s, load = now - peer.status_received_at, peer.load()
-        response = await self._send(
+        backlog_s, service_s = peer.backlog_s, peer.service_s
+        reply = await self._send(
             peer, self._forwarded_request(progress, peer, time_left_s)
         )
+        response = reply.response
+        self.costs.record(
+            progress.cost, reply.run_s, service_s, self.clock.now()
+        )
         progress.sent_attempts.append(
             logs.Attempt(
                 member,
@@ -405,6 +427,8 @@
                 response.verdict.value,
                 response.reason.value,
                 round(self.clock.now() - now, 4),
+                round(backlog_s, 4),
+                round(progress.cost.relative * service_s, 4),
             )
         )
         if (
@@ -426,7 +450,12 @@
             progress.service, now, progress.tried_members
         )
         chosen = load_balancing.choose_server(
-            [self.peer_table.candidate(peer) for peer in eligible], self.rng
+            [
+                self.peer_table.candidate(peer)
+                for peer in load_balancing.to_compare(eligible, self.rng)
+            ],
+            self.rng,
+            progress.cost.relative,
         )
         return None if chosen is None else self.peer_table.peers[chosen]
 
@@ -452,13 +481,14 @@
             target_s=route.target_s,
             late=progress.late,
             body=request.body,
+            relative_cost=progress.cost.relative,
         )
 
     async def _send(
         self,
         peer: peer_table.Peer,
         forwarded: stream_messages.ForwardedRequest,
-    ) -> http_messages.Response:
+    ) -> stream_client.Reply:
         """Serve a request here or send it to a peer, until its deadline.
 
         The peer's load and availability are updated by the reply, but not if
@@ -489,7 +519,7 @@
                 peer.in_flight -= 1
             else:
                 self.peer_table.record_reply(peer, reply, self.clock.now())
-        return reply.response
+        return reply
 
     def _reject(
         self,
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -29,7 +29,7 @@
     sidecar_options,
     status,
 )
-from bronzepaddle.load import retries
+from bronzepaddle.load import expected_cost, retries
 from bronzepaddle_backend import key_grants, key_reports, server_tracker
 from bronzepaddle_callers import buffered_app, server
 from bronzepaddle_peers import (
@@ -64,6 +64,7 @@
     tasks,
 )
 from bronzepaddle_node.keys import member_settings
+from bronzepaddle_node.requests import relative_costs
 
 CONTROL_THREADS: typing.Final = 3
 READY_THREADS: typing.Final = 2
@@ -136,6 +137,7 @@
             self.pacer,
             self.clock,
             self._on_server_lost,
+            expected_cost.CostModel(settings.cost_classes),
         )
         self.command_threads = grant_commands.CommandThreads()
         self.peer_streams = stream_client.Client()
@@ -155,6 +157,7 @@
             self.metrics_recorder,
             self.clock,
             random.Random(),
+            relative_costs.RelativeCosts(settings.cost_classes),
         )
         self.grpc_server: grpclib.server.Server | None = None
 
@@ -517,6 +520,7 @@
             read=self.reconciler.view.last_read,
             suspects=self.crash_detector.recent_changes(),
             affected_members=self.reconciler.view.affected_members(),
+            backlog_s=self.local_backend.backlog_s(),
         )
 
     def _runtime_snapshot(self) -> runtime_stats.Snapshot:
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_client.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_client.py
@@ -37,7 +37,9 @@
 class Reply:
     """A complete response from a peer, with the peer's load.
 
-    ``outstanding`` and ``service_s`` are the load, as in ``statuses.Status``.
+    ``outstanding``, ``service_s`` and ``backlog_s`` are the load, as in
+    ``statuses.Status``.  ``run_s`` is the time that the backend server took
+    for the request, 0 if it did not serve it.
     ``has_load`` is not set if the stream broke: the response is then a
     rejection made by this process, without the peer's load.
     """
@@ -46,6 +48,8 @@
     outstanding: int = 0
     service_s: float = 0.0
     has_load: bool = False
+    backlog_s: float = 0.0
+    run_s: float = 0.0
 
 
 class _Pending:
@@ -258,6 +262,8 @@
         head.outstanding,
         head.service_s,
         True,
+        head.backlog_s,
+        head.run_s,
     )
 
 
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_messages.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_messages.py
@@ -28,7 +28,8 @@
     ``key`` is -1 for a service that is not sharded by key.  ``rank`` is the
     priority of the route, 0 the most urgent, and ``target_s`` its target
     latency.  ``late`` is set if the request was rejected before and its caller
-    has retried after the target latency.
+    has retried after the target latency.  ``relative_cost`` is the expected
+    cost of the request as a multiple of the usual one of its service.
     """
 
     number: int
@@ -47,6 +48,7 @@
     target_s: float
     late: bool
     body: bytes
+    relative_cost: float = 1.0
 
 
 class Cancel(msgspec.Struct, frozen=True, tag="cancel", array_like=True):
@@ -76,9 +78,10 @@
 class ResponseHead(msgspec.Struct, frozen=True, tag="head", array_like=True):
     """The head of a response with the first piece of its body.
 
-    ``more`` is set if further pieces follow.  ``outstanding`` and
-    ``service_s`` are the load of the responding process, as in
-    ``statuses.Status``.
+    ``more`` is set if further pieces follow.  ``outstanding``, ``service_s``
+    and ``backlog_s`` are the load of the responding process, as in
+    ``statuses.Status``.  ``run_s`` is the time that the backend server took
+    for the request, 0 if it did not serve it.
     """
 
     number: int
@@ -92,6 +95,8 @@
     service_s: float
     piece: bytes
     more: bool
+    backlog_s: float = 0.0
+    run_s: float = 0.0
 
 
 class BodyPiece(msgspec.Struct, frozen=True, tag="piece", array_like=True):
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_service.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_service.py
@@ -216,6 +216,8 @@
         service_s=reply.service_s,
         piece=body[:size],
         more=len(body) > size,
+        backlog_s=reply.backlog_s,
+        run_s=reply.run_s,
     )
     for start in range(size, len(body), size):
         yield stream_messages.BodyPiece(
--- a/packages/bronzepaddle/src/bronzepaddle/load/key_load.py
+++ b/packages/bronzepaddle/src/bronzepaddle/load/key_load.py
@@ -1,4 +1,4 @@
-"""Request rates of hot keys, counted at the server that owns the keys.
+"""Load of hot keys, counted at the server that owns the keys.
 
 Hot keys are often close together and change within seconds.  Requests are
 therefore counted by small groups of adjacent keys, with counts that decay
@@ -41,11 +41,11 @@
         self.total = 0.0
         self.decayed_at = now
 
-    def count(self, key: int) -> None:
-        """Count one request for a key."""
+    def count(self, key: int, relative_cost: float = 1.0) -> None:
+        """Count a request for a key as so many of the usual cost."""
         group = key >> GROUP_BITS
-        self.counts[group] = self.counts.get(group, 0.0) + 1.0
-        self.total += 1.0
+        self.counts[group] = self.counts.get(group, 0.0) + relative_cost
+        self.total += relative_cost
 
     def decay(self, now: float) -> None:
         """Apply the decay of the counts since it was last applied."""
--- a/packages/bronzepaddle/src/bronzepaddle/load/load_balancing.py
+++ b/packages/bronzepaddle/src/bronzepaddle/load/load_balancing.py
@@ -2,9 +2,12 @@
 
 Servers differ in speed, and the processes that accept requests from callers
 choose independently.  The candidate with the lowest expected latency is
-chosen.  A candidate's load is known from its last status; the requests that
-this process has sent since then count as load too.  A little noise keeps the
-processes from all choosing the same server.
+chosen: the time until the request would start there, and what it is expected
+to cost at that server's speed.  A request of many times the usual cost thus
+goes to a fast server even if it has to wait there, a cheap one to the server
+that is free first.  A candidate's load is known from its last report; the
+requests that this process has sent since then count as load too.  A little
+noise keeps the processes from all choosing the same server.
 
 In a large fleet many processes see the same, slightly outdated loads.
 If each chose the best of all servers, they would overload the same few
@@ -46,7 +49,10 @@
     ``slots`` is the number of requests that it runs at a time, ``outstanding``
     counts those that run or wait there.  ``service_s`` is the mean time in
     seconds that it takes to process a request (0 if not measured).  ``cold``
-    is set for a server that has just started.
+    is set for a server that has just started.  ``backlog_s`` is the time until
+    a request would have started there, as it last reported (0 if it reports
+    none).  ``sent_since`` is the number of requests in ``outstanding`` that
+    were sent after that report, negative if more of them have ended.
     """
 
     member: ids.MemberId
@@ -55,28 +61,43 @@
     service_s: float
     cold: bool
     same_zone: bool
+    backlog_s: float = 0.0
+    sent_since: int = 0
+
+
+_T = typing.TypeVar("_T")
+
+
+def to_compare(
+    candidates: collections.abc.Sequence[_T], rng: random.Random
+) -> collections.abc.Sequence[_T]:
+    """Return the candidates to compare: all of a few, or some random ones."""
+    if len(candidates) <= COMPARE_ALL_MAX:
+        return candidates
+    return rng.sample(candidates, SAMPLE_SIZE)
 
 
 def choose_server(
-    candidates: collections.abc.Sequence[Candidate], rng: random.Random
+    candidates: collections.abc.Sequence[Candidate],
+    rng: random.Random,
+    relative_cost: float = 1.0,
 ) -> ids.MemberId | None:
     """Return the candidate with the lowest expected latency, if any.
 
-    Of many candidates only two random ones are compared.
+    Of many candidates only two random ones are compared.  ``relative_cost`` is
+    the expected cost of the request as a multiple of the usual one.
     """
     if not candidates:
         return None
+    compared = to_compare(candidates, rng)
     measured = [
-        candidate.service_s for candidate in candidates if candidate.service_s
+        candidate.service_s for candidate in compared if candidate.service_s
     ]
     default_service_s = min(measured, default=DEFAULT_SERVICE_S)
-    compared = candidates
-    if len(candidates) > COMPARE_ALL_MAX:
-        compared = rng.sample(candidates, SAMPLE_SIZE)
     best = min(
         compared,
         key=lambda candidate: (
-            expected_latency_s(candidate, default_service_s)
+            expected_latency_s(candidate, default_service_s, relative_cost)
             * rng.uniform(1 - NOISE, 1 + NOISE)
         ),
     )
@@ -84,7 +105,9 @@
 
 
 def expected_latency_s(
-    candidate: Candidate, default_service_s: float = DEFAULT_SERVICE_S
+    candidate: Candidate,
+    default_service_s: float = DEFAULT_SERVICE_S,
+    relative_cost: float = 1.0,
 ) -> float:
     """Return the expected latency of a new request at a candidate.
 
@@ -95,10 +118,28 @@
     service_s = candidate.service_s or default_service_s
     if candidate.cold:
         service_s *= COLD_FACTOR
-    # The requests ahead run in rounds of one request per slot.
-    rounds = max(1.0, (candidate.outstanding + 1) / max(1, candidate.slots))
     # Occupied slots add a small cost, so that equally fast servers share the
-    # load even before one of them is full.
+    # load even before one of them is full, and a cost for the requests that
+    # will have to wait behind this one.
     occupancy_factor = 1 + candidate.outstanding / max(1, candidate.slots)
     network_s = 0.0 if candidate.same_zone else OTHER_ZONE_S
-    return service_s * rounds * occupancy_factor + network_s
+    start_s = expected_start_s(candidate, service_s)
+    run_s = relative_cost * service_s
+    return (start_s + run_s) * occupancy_factor + network_s
+
+
+def expected_start_s(candidate: Candidate, service_s: float) -> float:
+    """Return the time until a new request would start at a candidate.
+
+    Requests that were sent or have ended since the last report change the
+    reported time by one service time each, divided by the slots.
+    """
+    slots = max(1, candidate.slots)
+    queued = max(0, candidate.outstanding + 1 - slots)
+    reported_outstanding = candidate.outstanding - candidate.sent_since
+    reported_queued = max(0, reported_outstanding + 1 - slots)
+    if reported_queued and not candidate.backlog_s:
+        # The process is of a release that does not report it.
+        return queued * service_s / slots
+    change_s = (queued - reported_queued) * service_s / slots
+    return max(0.0, candidate.backlog_s + change_s)
--- a/packages/bronzepaddle/src/bronzepaddle/load/server_queue.py
+++ b/packages/bronzepaddle/src/bronzepaddle/load/server_queue.py
@@ -19,6 +19,12 @@
   has already passed goes behind the requests that can still be in time.
   Otherwise the retries would make every request late.
 
+- *Requests of one kind that differ in cost.*  The expected cost of a request
+  is the mean of its kind times the factor that ``expected_cost`` has learned
+  for its features.
+- *A server that fails requests at once.*  Such a request does not count as a
+  fast one, and the share of failures makes the server count as slower.
+
 A request that must not be repeated may wait beyond its target time, because
 losing it is worse than serving it late.
 """
@@ -30,6 +36,7 @@
 import typing
 
 from bronzepaddle import averages
+from bronzepaddle.load import expected_cost, reported_speed
 
 MEAN_WEIGHT: typing.Final = 0.1
 """Weight of the newest service time in the moving average of its kind."""
@@ -72,6 +79,16 @@
 will be capacity."""
 
 
+MIN_REMAINING_S: typing.Final = 0.001
+"""Minimum of the expected rest of a running request."""
+
+FAILURE_WEIGHT: typing.Final = 0.05
+"""Weight of the newest request in the moving average of failures."""
+
+MAX_FAILURE_SHARE: typing.Final = 0.5
+"""Limit on the share of failures by which a server counts as slower."""
+
+
 class State(enum.Enum):
     """The state of a queue entry."""
 
@@ -91,6 +108,9 @@
     ``kind`` groups requests with similar service times.  ``target_s`` is the
     time in which the request should finish, ``time_left_s`` the time until
     its deadline.  ``late`` is set when the target time has already passed.
+    ``features`` may tell the costs of requests of one kind apart.
+    ``relative_cost`` is the cost that the process which sent the request
+    expects, as a multiple of the mean of the service.
     """
 
     rank: int
@@ -99,6 +119,8 @@
     time_left_s: float
     idempotent: bool
     late: bool = False
+    features: expected_cost.Features = ()
+    relative_cost: float = 1.0
 
     @property
     def level(self) -> "Level":
@@ -123,7 +145,11 @@
     ``target_time`` is the time at which it should have finished, ``deadline``
     the time at which it must have.  ``started`` is the time at which it got a
     slot or, while it waits, its arrival time.  ``corrects_mean`` is set if it
-    may run against an outdated mean service time, which its own one replaces.
+    may run against an outdated mean service time, which its own one replaces,
+    ``corrects_factor`` if it may against an outdated ``cost_factor``, the
+    expected cost relative to the mean of its kind.  ``reported_factor`` is the
+    speed that the server reported before it started.  ``run_s`` is the time
+    that it took, 0 until it has been served.
     """
 
     def __init__(self, profile: RequestProfile, now: float) -> None:
@@ -133,6 +159,10 @@
         self.state = State.WAITING
         self.started = now
         self.corrects_mean = False
+        self.corrects_factor = False
+        self.cost_factor = 1.0
+        self.reported_factor: float | None = None
+        self.run_s = 0.0
 
     @property
     def sort_key(self) -> tuple[Level, float]:
@@ -141,18 +171,30 @@
 
 
 class ServerQueue:
-    """The queue of one server that runs ``slots`` requests at a time."""
+    """The queue of one server that runs ``slots`` requests at a time.
 
-    def __init__(self, slots: int, now: float) -> None:
+    ``costs`` tells requests of one kind apart by their features.
+    """
+
+    def __init__(
+        self,
+        slots: int,
+        now: float,
+        costs: expected_cost.CostModel | None = None,
+    ) -> None:
         self.slots = slots
+        self.costs = costs or expected_cost.CostModel()
+        self.speed = reported_speed.ReportedSpeed()
         self.waiting: list[QueueEntry] = []
         self.running = 0
+        self.running_entries: set[QueueEntry] = set()
         self.running_by_kind: collections.Counter[str] = collections.Counter()
         self.mean_service_s_by_kind: dict[str, float] = {}
         # By kind: when the mean was last measured or a request let through to
         # do so.
         self.estimated_at: dict[str, float] = {}
         self.overall_mean_service_s = 0.0
+        self.failure_share = 0.0
         # Expected service time of the admitted requests, decaying over time.
         self.admitted_s: dict[Level, float] = {}
         self.rejected_at: dict[Level, float] = {}
@@ -167,32 +209,77 @@
         self._decay_counters(now)
         self.arrivals += 1
         entry = QueueEntry(profile, now)
-        wait_s = self.expected_wait_s(entry)
-        mean_s = self.mean_s(profile.kind)
-        if wait_s > allowed_wait_s(profile, mean_s):
+        entry.cost_factor = self.costs.factor(
+            profile.kind, profile.features, now
+        )
+        wait_s = self.expected_wait_s(entry, now)
+        expected_s = self._entry_s(entry)
+        if wait_s > allowed_wait_s(profile, expected_s):
             self.rejections += 1
             self.rejected_at[profile.level] = now
             return Rejected(wait_s, self._retry_after_s(wait_s))
         self.admitted_s[profile.level] = (
-            self.admitted_s.get(profile.level, 0.0) + mean_s
+            self.admitted_s.get(profile.level, 0.0) + expected_s
         )
         self.waiting.append(entry)
         return entry
 
-    def expected_wait_s(self, entry: QueueEntry) -> float:
+    def expected_wait_s(self, entry: QueueEntry, now: float) -> float:
         """Return the expected time until a request starts."""
         if self.running < self.slots and not self.waiting:
             return 0.0
         ahead_s = sum(
-            self.mean_s(earlier.profile.kind)
+            self._entry_s(earlier)
             for earlier in self.waiting
             if earlier is not entry and earlier.sort_key <= entry.sort_key
         )
         # One service time is added for the wait until a slot becomes free.  It
         # is divided by the slots too: the next one to become free is one of
         # many in use.
+        next_free_s = self.mean_s(entry.profile.kind)
+        if any(running.cost_factor != 1 for running in self.running_entries):
+            next_free_s = max(
+                next_free_s, self._next_free_s(now) * max(1, self.slots)
+            )
         slots = self._available_slots(entry.profile.level)
-        return (ahead_s + self.mean_s(entry.profile.kind)) / slots
+        wait_s = (ahead_s + next_free_s) / slots
+        return wait_s * self.speed.factor(now)
+
+    def backlog_s(self, now: float) -> float:
+        """Return the expected time until all requests here have started.
+
+        It does not include the speed that the server reports, which changes
+        before others learn of it.
+        """
+        if self.running < self.slots and not self.waiting:
+            return 0.0
+        waiting_s = sum(self._entry_s(entry) for entry in self.waiting)
+        return waiting_s / max(1, self.slots) + self._next_free_s(now)
+
+    def _next_free_s(self, now: float) -> float:
+        """Return the expected time until the first running request ends."""
+        ends_per_s = sum(
+            1
+            / max(
+                MIN_REMAINING_S,
+                self.costs.remaining_s(
+                    entry.profile.kind,
+                    self._entry_s(entry),
+                    now - entry.started,
+                ),
+            )
+            for entry in self.running_entries
+        )
+        return 1 / ends_per_s if ends_per_s else 0.0
+
+    def expected_s(self, profile: RequestProfile, now: float) -> float:
+        """Return the expected service time of a request."""
+        factor = self.costs.factor(profile.kind, profile.features, now)
+        return self.mean_s(profile.kind) * factor
+
+    def _entry_s(self, entry: QueueEntry) -> float:
+        """Return the expected service time of a queued request."""
+        return self.mean_s(entry.profile.kind) * entry.cost_factor
 
     def _available_slots(self, level: Level) -> float:
         """Return the slots that more urgent levels leave to a level.
@@ -225,7 +312,9 @@
             self.waiting.remove(entry)
             entry.state = State.RUNNING
             entry.started = now
+            entry.reported_factor = self.speed.reported_factor(now)
             self.running += 1
+            self.running_entries.add(entry)
             self.running_by_kind[entry.profile.kind] += 1
             started.append(entry)
         return started
@@ -233,8 +322,8 @@
     def remove_expired(self, now: float) -> list[QueueEntry]:
         """Remove and return requests that would miss their deadline.
 
-        A request is given up when less than half the mean service time of its
-        kind is left.
+        A request is given up when less than half its expected service time is
+        left.
         """
         expired = [
             entry
@@ -249,39 +338,74 @@
 
     def _misses_deadline(self, entry: QueueEntry, now: float) -> bool:
         """Return whether a waiting request would miss its deadline."""
-        return now + self.mean_s(entry.profile.kind) / 2 > entry.deadline
+        return now + self._entry_s(entry) / 2 > entry.deadline
 
     def _is_let_through(self, entry: QueueEntry, now: float) -> bool:
         """Return whether a request may run although its kind takes too long.
 
         One request may if the mean of its kind is outdated: that may have
         become too high, for instance after the whole process was frozen, and
-        only a request that runs corrects it.
+        only a request that runs corrects it.  The same holds for what is
+        known of its features.
         """
+        return now < entry.deadline and (
+            self._corrects_mean(entry, now)
+            or self._corrects_factor(entry, now)
+        )
+
+    def _corrects_mean(self, entry: QueueEntry, now: float) -> bool:
+        """Return whether a request may run to correct the mean of its kind."""
         kind = entry.profile.kind
         estimate_age_s = now - self.estimated_at.get(kind, now)
         is_outdated = (
             estimate_age_s > MAX_ESTIMATE_AGE_S
             and not self.running_by_kind[kind]
         )
-        if now >= entry.deadline or not is_outdated:
+        if not is_outdated:
             return False
         self.estimated_at[kind] = now
         entry.corrects_mean = True
         return True
 
-    def remove(self, entry: QueueEntry, now: float, served: bool) -> None:
+    def _corrects_factor(self, entry: QueueEntry, now: float) -> bool:
+        """Return whether a request may run to correct its cost factor."""
+        profile = entry.profile
+        updated_at = self.costs.updated_at(profile.kind, profile.features)
+        if (
+            entry.cost_factor <= 1
+            or updated_at is None
+            or now - updated_at <= MAX_ESTIMATE_AGE_S
+            or any(
+                running.corrects_factor
+                and running.profile.kind == profile.kind
+                and running.profile.features == profile.features
+                for running in (*self.running_entries, *self.waiting)
+            )
+        ):
+            return False
+        entry.corrects_factor = True
+        return True
+
+    def remove(
+        self,
+        entry: QueueEntry,
+        now: float,
+        served: bool,
+        failed: bool = False,
+    ) -> None:
         """Remove a waiting or running request.
 
-        If it was ``served``, its service time is included in the means.
+        If it was ``served``, its service time is included in the means, unless
+        the server ``failed`` it sooner than expected.
         """
         if entry.state is State.WAITING:
             self.waiting.remove(entry)
         elif entry.state is State.RUNNING:
             self.running -= 1
+            self.running_entries.discard(entry)
             self.running_by_kind[entry.profile.kind] -= 1
             if served:
-                self._record_service_time(entry, now)
+                self._record_outcome(entry, now, failed)
         entry.state = State.DONE
 
     def outstanding(self) -> int:
@@ -296,20 +420,49 @@
         """Return the mean service time of all requests; 0 if unknown.
 
         The mean is taken over requests, not over kinds, because some kinds
-        are rare.
+        are rare.  It is that of requests of usual cost, and longer if some of
+        them fail: they may have to be sent again.
         """
-        return self.overall_mean_service_s
+        failure_share = min(self.failure_share, MAX_FAILURE_SHARE)
+        return self.overall_mean_service_s / (1 - failure_share)
+
+    def _record_outcome(
+        self, entry: QueueEntry, now: float, failed: bool
+    ) -> None:
+        """Record that a request was served or failed by the server."""
+        self.failure_share = averages.update_ewma(
+            self.failure_share, 1.0 if failed else 0.0, FAILURE_WEIGHT
+        )
+        if not failed or now - entry.started >= self._entry_s(entry):
+            self._record_service_time(entry, now)
 
     def _record_service_time(self, entry: QueueEntry, now: float) -> None:
-        kind, took_s = entry.profile.kind, now - entry.started
+        profile = entry.profile
+        kind, took_s = profile.kind, now - entry.started
+        entry.run_s = took_s
+        expected_s = self._entry_s(entry)
+        mean_s = self.mean_service_s_by_kind.get(kind, 0.0)
+        if mean_s and not entry.corrects_mean:
+            self.speed.record_run(took_s / expected_s, entry.reported_factor)
+            self.costs.record(
+                kind,
+                profile.features,
+                took_s / mean_s,
+                now,
+                entry.corrects_factor,
+            )
         self.estimated_at[kind] = now
         if entry.corrects_mean:
             self.mean_service_s_by_kind.pop(kind, None)
         self.overall_mean_service_s = averages.update_ewma(
-            self.overall_mean_service_s or None, took_s, OVERALL_MEAN_WEIGHT
+            self.overall_mean_service_s or None,
+            took_s / profile.relative_cost,
+            OVERALL_MEAN_WEIGHT,
         )
         self.mean_service_s_by_kind[kind] = averages.update_ewma(
-            self.mean_service_s_by_kind.get(kind), took_s, MEAN_WEIGHT
+            self.mean_service_s_by_kind.get(kind),
+            took_s / entry.cost_factor,
+            MEAN_WEIGHT,
         )
 
     def _decay_counters(self, now: float) -> None:
@@ -329,11 +482,11 @@
         )
 
 
-def allowed_wait_s(profile: RequestProfile, mean_s: float) -> float:
+def allowed_wait_s(profile: RequestProfile, expected_s: float) -> float:
     """Return the longest expected wait with which a request is admitted."""
     bound_s = latency_bound_s(profile)
     return max(
-        bound_s - SERVICE_TIME_FACTOR * mean_s, MIN_WAIT_SHARE * bound_s
+        bound_s - SERVICE_TIME_FACTOR * expected_s, MIN_WAIT_SHARE * bound_s
     )
 
 
--- a/packages/bronzepaddle/src/bronzepaddle/logs.py
+++ b/packages/bronzepaddle/src/bronzepaddle/logs.py
@@ -265,7 +265,9 @@
     """One attempt of a request, with the data behind the choice of server.
 
     ``load`` is the number of requests that were known to run or wait at the
-    server, ``heard_ago_s`` the age of its status.
+    server, ``heard_ago_s`` the age of its status, ``backlog_s`` the time until
+    a request would have started there, as last reported, ``expected_s`` the
+    expected run time of this request there, 0 if unknown.
     """
 
     member: ids.MemberId
@@ -275,6 +277,8 @@
     verdict: str
     reason: str
     took_s: float
+    backlog_s: float = 0.0
+    expected_s: float = 0.0
 
 
 def request_finished(
--- a/packages/bronzepaddle/src/bronzepaddle/sidecar_options.py
+++ b/packages/bronzepaddle/src/bronzepaddle/sidecar_options.py
@@ -17,6 +17,7 @@
 import returns.result
 
 from bronzepaddle import ids, log_writer, options, store_leases
+from bronzepaddle.load import expected_cost
 
 SIDECAR_FORM: typing.Final = "objects"
 """Value of ``[platform] form`` in the settings of a sidecar."""
@@ -28,7 +29,7 @@
     "control": ("listen",),
     "peers": ("listen", "status-s", "link-mbps"),
     "platform": ("form", "address", "timeout-s", "calls-per-minute"),
-    "backend": ("announce-ms", "threads"),
+    "backend": ("announce-ms", "threads", "cost-classes"),
     "keys": ("lease-s", "read-s", "most-hold-ms"),
     "retries": ("share", "slack"),
     "metrics": ("listen",),
@@ -64,7 +65,9 @@
     peers, ``announce_s`` that of the backend server's announcements.  All
     processes together may make ``retry_slack`` retries beyond the share
     ``retry_share`` of their requests.  ``link_mbps`` is the bandwidth of the
-    VM's network link, None if unknown.
+    VM's network link, None if unknown.  ``cost_classes`` is the number of
+    values of features of requests for which the process remembers the cost, 0
+    to take all requests of a route for equally costly.
     """
 
     name: ids.MemberId
@@ -88,6 +91,7 @@
     max_hold_s: float
     retry_share: float
     retry_slack: float
+    cost_classes: int = expected_cost.DEFAULT_MAX_VALUES
     metrics: options.Endpoint | None = None
     log: log_writer.Bounds = dataclasses.field(
         default_factory=log_writer.Bounds
@@ -161,6 +165,13 @@
             / 1000,
             retry_share=self.number("retries", "share", 0.1, 0.0, 10.0),
             retry_slack=self.number("retries", "slack", 20.0, 0.0, 1e6),
+            cost_classes=self.integer(
+                "backend",
+                "cost-classes",
+                expected_cost.DEFAULT_MAX_VALUES,
+                0,
+                10_000,
+            ),
             metrics=(
                 self.endpoint("metrics")
                 if self.parser.has_section("metrics")
