--- a/bench/logcost.py
+++ b/bench/logcost.py
@@ -29,6 +29,9 @@
 READINGS: typing.Final = sidecar_metrics.Readings(
     0,
     0,
+    0.0,
+    0.0,
+    0,
     {},
     0.0,
     0,
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
@@ -176,6 +176,11 @@
             else self.server_run.queue.backlog_s(self.clock.now())
         )
 
+    def failure_share(self) -> float:
+        """Return the share of requests that the server lately failed."""
+        server_run = self.server_run
+        return 0.0 if server_run is None else server_run.queue.failure_share
+
     async def handle_from_peer(
         self, request: stream_messages.ForwardedRequest
     ) -> stream_client.Reply:
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -553,6 +553,9 @@
         return sidecar_metrics.Readings(
             waiting=queue.waiting,
             running=queue.running,
+            backlog_s=self.local_backend.backlog_s(),
+            failure_share=self.local_backend.failure_share(),
+            cost_classes=len(self.local_backend.costs.values),
             retries_left=dict(self.retry_budgets.remaining),
             lease_left_s=self.reconciler.view.lease.remaining_s(now),
             keys_held=self.held_keys.size(now),
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar_metrics.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar_metrics.py
@@ -39,8 +39,11 @@
     """The values of other components at one moment; times in seconds.
 
     ``waiting`` and ``running`` are the requests in the queue of the backend
-    server and at the server.  ``retries_left`` is the rest of the retry
-    budget of each service.
+    server and at the server, ``backlog_s`` is the expected time until a
+    request that arrives now would start, ``failure_share`` the share of
+    requests that the server failed.  ``cost_classes`` is the number of values
+    of features of requests by which costs are told apart.  ``retries_left`` is
+    the rest of the retry budget of each service.
 
     ``config_refused`` is set while a configuration newer than the one in
     effect has been refused as invalid.
@@ -58,6 +61,9 @@
 
     waiting: int
     running: int
+    backlog_s: float
+    failure_share: float
+    cost_classes: int
     retries_left: collections.abc.Mapping[ids.ServiceName, float]
     lease_left_s: float
     keys_held: int
@@ -214,6 +220,9 @@
 _GAUGES: typing.Final = (
     ("bronzepaddle.waiting", "", _observe_field("waiting")),
     ("bronzepaddle.running", "", _observe_field("running")),
+    ("bronzepaddle.backlog", "s", _observe_field("backlog_s")),
+    ("bronzepaddle.failure.share", "", _observe_field("failure_share")),
+    ("bronzepaddle.cost.classes", "", _observe_field("cost_classes")),
     ("bronzepaddle.retries.left", "", _observe_retries),
     ("bronzepaddle.lease.left", "s", _observe_field("lease_left_s")),
     ("bronzepaddle.keys.held", "", _observe_field("keys_held")),
--- a/tests/test_sidecar_metrics.py
+++ b/tests/test_sidecar_metrics.py
@@ -14,6 +14,9 @@
 READINGS: typing.Final = sidecar_metrics.Readings(
     waiting=1,
     running=2,
+    backlog_s=0.4,
+    failure_share=0.1,
+    cost_classes=8,
     retries_left={SHOP: 3.0},
     lease_left_s=1.5,
     keys_held=5,
@@ -74,5 +77,8 @@
     assert value("bronzepaddle_second_sends_total", 'service="shop"') == 2
     assert value("bronzepaddle_latency_seconds_count") == 2
     assert value("bronzepaddle_lease_left_seconds") == 1.5
+    assert value("bronzepaddle_backlog_seconds") == 0.4
+    assert value("bronzepaddle_failure_share") == 0.1
+    assert value("bronzepaddle_cost_classes") == 8
     assert value("bronzepaddle_store_calls_total", 'outcome="lost"') == 1
     assert value("bronzepaddle_log_dropped_total", 'kind="served"') == 3
--- a/tests/test_sidecar_options.py
+++ b/tests/test_sidecar_options.py
@@ -48,6 +48,17 @@
     raise AssertionError
 
 
+def test_number_of_cost_classes_is_checked(tmp_path: pathlib.Path) -> None:
+    settings, errors = load(tmp_path, VALID + "[backend]\ncost-classes = 0\n")
+    assert errors == []
+    assert settings is not None
+    assert settings.cost_classes == 0
+    _, errors = load(tmp_path, VALID + "[backend]\ncost-classes = -1\n")
+    assert len(errors) == 1
+    assert "backend" in errors[0]
+    assert "cost-classes" in errors[0]
+
+
 def test_valid_settings_are_read(tmp_path: pathlib.Path) -> None:
     settings, errors = load(tmp_path, VALID)
     assert errors == []
