--- a/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
@@ -27,6 +27,7 @@
     ids,
     logs,
     route_table,
+    status,
     verdicts,
 )
 from bronzepaddle.load import load_balancing, retries, server_queue
@@ -40,7 +41,7 @@
     process_end,
     sidecar_metrics,
 )
-from bronzepaddle_node.requests import relative_costs
+from bronzepaddle_node.requests import relative_costs, route_explanation
 
 RESPONSE_MARGIN_S: typing.Final = 0.02
 """Time reserved for returning a response before its deadline."""
@@ -136,6 +137,21 @@
             for name in times_by_route.keys() - route_names:
                 del times_by_route[name]
 
+    def explain(
+        self, question: status.RouteQuestion
+    ) -> status.RouteExplanation:
+        """Return where a request would be sent now, without sending it."""
+        return route_explanation.explain(
+            question,
+            route_explanation.Known(
+                self.route_table,
+                self.peer_table,
+                self.costs,
+                self.caller_service,
+                self.clock.now(),
+            ),
+        )
+
     async def serve(
         self, request: buffered_app.BufferedRequest
     ) -> http_messages.Response:
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -64,7 +64,7 @@
     tasks,
 )
 from bronzepaddle_node.keys import member_settings
-from bronzepaddle_node.requests import relative_costs
+from bronzepaddle_node.requests import explanation_app, relative_costs
 
 CONTROL_THREADS: typing.Final = 3
 READY_THREADS: typing.Final = 2
@@ -298,7 +298,14 @@
             CONTROL_THREADS,
         )
         self.readiness_server = self._http_server(
-            registry.Readiness(self._readiness),
+            registry.Readiness(
+                self._readiness,
+                explanation_app.ExplanationApp(
+                    lambda question: self._call_in_loop(
+                        lambda: self.router.explain(question)
+                    )
+                ),
+            ),
             settings.ready,
             READY_THREADS,
         )
--- a/packages/bronzepaddle-operators/src/bronzepaddle_operators/cli.py
+++ b/packages/bronzepaddle-operators/src/bronzepaddle_operators/cli.py
@@ -16,7 +16,7 @@
 from bronzepaddle import bundle_ini
 from bronzepaddle import status as status_messages
 
-from bronzepaddle_operators import log_history
+from bronzepaddle_operators import log_history, route_command
 
 COMMANDS_GROUP: typing.Final = "bronzepaddle.commands"
 TIMEOUT_S: typing.Final = 3.0
@@ -152,6 +152,46 @@
     )
 
 
+@explain.command("route")
+@click.argument("method")
+@click.argument("host")
+@click.argument("target", metavar="PATH")
+@click.option(
+    "--process",
+    required=True,
+    help="Address of the readiness checks of the process, HOST:PORT.",
+)
+@click.option("--key", type=int, default=-1, help="Key of the request.")
+@click.option(
+    "--body-bytes", type=int, default=0, help="Length of its body, bytes."
+)
+def explain_route(
+    method: str,
+    host: str,
+    target: str,
+    process: str,
+    key: int,
+    body_bytes: int,
+) -> None:
+    """Show where a request would be sent now, and why, without sending it.
+
+    PATH may have a query.  The process answers as if the request had come to
+    it now.
+    """
+    fields = {
+        "method": method,
+        "host": host,
+        "target": target,
+        "key": str(key),
+        "body_bytes": str(body_bytes),
+    }
+    explanation = msgspec.json.decode(
+        _call_control_port("GET", process, "route", fields),
+        type=status_messages.RouteExplanation,
+    )
+    click.echo("\n".join(route_command.lines(explanation)))
+
+
 _logs_argument = click.argument(
     "logs", nargs=-1, type=click.Path(path_type=pathlib.Path)
 )
--- a/packages/bronzepaddle/src/bronzepaddle/status.py
+++ b/packages/bronzepaddle/src/bronzepaddle/status.py
@@ -82,3 +82,48 @@
     token: int | None
     cell_version: ids.ObjectVersion
     detail: str
+
+
+class RouteQuestion(msgspec.Struct, frozen=True):
+    """A request whose way is asked for; ``key`` is negative if it has none."""
+
+    method: str
+    host: str
+    target: str
+    key: int
+    body_bytes: int
+
+
+class RouteCandidate(msgspec.Struct, frozen=True):
+    """A server that a request might be sent to, as one process knows it.
+
+    ``load`` counts the requests that run or wait there, ``backlog_s`` is the
+    time until a request would have started by its last report, ``service_s``
+    the mean time of a request of usual cost, 0 if unknown.  ``latency_s`` is
+    the figure by which servers are compared.
+    """
+
+    member: ids.MemberId
+    zone: ids.ZoneName
+    slots: int
+    load: int
+    backlog_s: float
+    service_s: float
+    cold: bool
+    heard_ago_s: float
+    latency_s: float
+
+
+class RouteExplanation(msgspec.Struct, frozen=True):
+    """Where a request would be sent now, and why.
+
+    ``route`` and ``service`` are empty if there are none, ``relative_cost`` is
+    the expected cost as a multiple of the usual one.  The candidates are in
+    the order in which they are preferred.
+    """
+
+    reason: str
+    route: str = ""
+    service: ids.ServiceName = ids.ServiceName("")
+    relative_cost: float = 1.0
+    candidates: tuple[RouteCandidate, ...] = ()
--- a/tests/integration/test_sidecar.py
+++ b/tests/integration/test_sidecar.py
@@ -258,6 +258,23 @@
         assert len(servers) == 1
 
 
+def test_route_of_a_request_is_explained(fleet: Fleet) -> None:
+    """The command asks a running process; the readiness checks go on."""
+    name = next(iter(fleet.sidecars))
+    address = fleet.sidecars[name].settings.ready
+    result = click.testing.CliRunner().invoke(
+        cli.main,
+        [
+            *("explain", "route", "GET", "one.example", "/keyed/a"),
+            *("--key", "1500"),
+            *("--process", f"{address.host}:{address.port}"),
+        ],
+    )
+    assert result.exit_code == 0, result.output
+    assert "it holds key 1500 with token" in result.output
+    assert readiness(fleet, name).startswith("ready")
+
+
 def test_request_reaches_its_server_unchanged(fleet: Fleet) -> None:
     """Request and response are unchanged except for the router's headers.
 
