--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/statuses.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/statuses.py
@@ -105,19 +105,19 @@
     Backend server: ``run`` identifies its current run, ``slots`` is the
     number of requests that it processes at once, ``outstanding`` the number
     admitted or queued at the sender, ``service_s`` the mean processing time
-    of a request in seconds, ``warmup_left_s`` the remaining time in which it
-    is expected to be slow after its start.
+    of a request of usual cost in seconds, ``warmup_left_s`` the remaining time
+    in which it is expected to be slow after its start.
 
     Versions: ``table_version`` is that of the route table in effect,
     ``ownership_version`` that of the ownership object of the sender's
     service as last read.
 
     Keys: ``held`` are the ranges of keys that the backend server holds,
-    ``request_rate`` is the rate of requests per second for these keys, and
-    ``hot_keys`` lists the busiest of them.  ``read`` is the sender's last
-    read of the ownership object, None if it has none.  ``affected_members``
-    lists the members whose keys the sender has recently changed in that
-    object.
+    ``request_rate`` is the rate of requests per second for these keys, as so
+    many requests of usual cost, and ``hot_keys`` lists the busiest of them.
+    ``read`` is the sender's last read of the ownership object, None if it has
+    none.  ``affected_members`` lists the members whose keys the sender has
+    recently changed in that object.
 
     ``suspects`` lists recent changes to the sender's list of suspects.
     ``interval_s`` is the longest interval between two statuses to the same
--- a/packages/bronzepaddle/src/bronzepaddle/load/key_load.py
+++ b/packages/bronzepaddle/src/bronzepaddle/load/key_load.py
@@ -2,8 +2,9 @@
 
 Hot keys are often close together and change within seconds.  Requests are
 therefore counted by small groups of adjacent keys, with counts that decay
-quickly.  ``key_assignment`` moves the groups with the highest rates away from
-an overloaded server.
+quickly.  A request counts by its cost: one of ten times the usual cost is
+load as ten requests are.  ``key_assignment`` moves the groups with the highest
+rates away from an overloaded server.
 """
 
 import collections.abc
@@ -26,7 +27,10 @@
 
 
 class KeyGroupLoad(msgspec.Struct, frozen=True, array_like=True):
-    """Adjacent keys ``first`` to ``last`` with their requests per second."""
+    """Adjacent keys ``first`` to ``last`` with their load.
+
+    ``rate`` is the number of requests of usual cost per second.
+    """
 
     first: int
     last: int
--- a/tests/test_key_load.py
+++ b/tests/test_key_load.py
@@ -28,6 +28,14 @@
 HOT_GROUP: typing.Final = key_load.KeyGroupLoad(160, 175, 40.0)
 
 
+def test_keys_with_dear_requests_are_hotter_than_keys_with_many() -> None:
+    counter = key_load.KeyLoadCounter(0.0)
+    for _ in range(5):
+        counter.count(7)
+    counter.count(100, 10.0)
+    assert [group.first for group in counter.hottest()] == [96, 0]
+
+
 def test_counter_reports_the_hottest_groups_and_decays() -> None:
     counter = key_load.KeyLoadCounter(0.0)
     for key in [7] * 50 + [100] * 20 + list(range(1000, 1100)):
