--- a/tests/test_uneven_costs.py
+++ b/tests/test_uneven_costs.py
@@ -128,6 +128,18 @@
     assert queue.overall_mean_s() < before_s
 
 
+def test_server_that_gets_dear_requests_does_not_look_slow() -> None:
+    """Guards against dear requests that drive each other away."""
+    means_s = []
+    for cost in (0.2, 5.0):
+        queue = server_queue.ServerQueue(3, 0.0)
+        profile = dataclasses.replace(READ, relative_cost=cost)
+        for number in range(50):
+            serve(queue, profile, 0.1 * cost, float(number))
+        means_s.append(queue.overall_mean_s())
+    assert means_s[0] == pytest.approx(means_s[1])
+
+
 def speed_after(
     run_time: collections.abc.Callable[[float, random.Random], float],
 ) -> tuple[reported_speed.ReportedSpeed, float]:
@@ -213,6 +225,9 @@
         FREE, member=ids.MemberId("sent"), outstanding=9, sent_since=9
     )
     assert chosen(reported_idle, FREE) == {"free"}
+    # The new one and six of them wait for one of three slots.
+    start_s = load_balancing.expected_start_s(reported_idle, 0.2)
+    assert start_s == pytest.approx(7 * 0.2 / 3)
 
 
 def test_server_of_an_older_release_is_judged_by_its_requests() -> None:
