Part the watch for callers that leave from the router

The class moves unchanged to a module of its own beside the other parts that routing uses, and the packages' pages name the new modules.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
@@ -14,10 +14,8 @@
 """
 
 import asyncio
-import collections.abc
 import dataclasses
 import random
-import socket
 import typing
 
 from bronzepaddle import (
@@ -41,7 +39,11 @@
     process_end,
     sidecar_metrics,
 )
-from bronzepaddle_node.requests import relative_costs, route_explanation
+from bronzepaddle_node.requests import (
+    disconnects,
+    relative_costs,
+    route_explanation,
+)
 
 RESPONSE_MARGIN_S: typing.Final = 0.02
 """Time reserved for returning a response before its deadline."""
@@ -161,7 +163,7 @@
         """
         started_at = self.clock.now()
         serving = asyncio.ensure_future(self._serve(request))
-        disconnect_watcher = _DisconnectWatcher(
+        disconnect_watcher = disconnects.DisconnectWatcher(
             request.caller_socket, serving.cancel
         )
         try:
@@ -561,44 +563,3 @@
     }
 )
 """Reasons of rejections that end once the key has an owner that serves it."""
-
-
-class _DisconnectWatcher:
-    """Watches for a disconnect of the caller while its request is served.
-
-    Calls ``on_disconnect`` if the caller closes the connection.
-    """
-
-    def __init__(
-        self,
-        connection: socket.socket | None,
-        on_disconnect: collections.abc.Callable[[], object],
-    ) -> None:
-        self.on_disconnect = on_disconnect
-        self.disconnected = False
-        self.loop = asyncio.get_running_loop()
-        self.connection = connection
-        if connection is not None:
-            self.loop.add_reader(connection.fileno(), self._on_readable)
-
-    def _on_readable(self) -> None:
-        """Distinguish a closed connection from one with the next request."""
-        connection = self.connection
-        if connection is None:
-            return
-        try:
-            peeked = connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return
-        except OSError:
-            peeked = b""
-        self.stop()
-        if not peeked:
-            self.disconnected = True
-            self.on_disconnect()
-
-    def stop(self) -> None:
-        """Stop watching."""
-        if self.connection is not None:
-            self.loop.remove_reader(self.connection.fileno())
-            self.connection = None
--- a/packages/bronzepaddle/src/bronzepaddle/load/__init__.py
+++ b/packages/bronzepaddle/src/bronzepaddle/load/__init__.py
@@ -4,6 +4,9 @@
 
 - ``server_queue``: which requests wait for a backend server, which are
   rejected, and in which order they run,
+- ``expected_cost``: what a request is likely to cost, and how long a running
+  one is likely to go on,
+- ``reported_speed``: whether a server's report of its speed is believed,
 - ``load_balancing``: which server a request without a key is sent to,
 - ``key_load``: which keys are hot,
 - ``retries``: whether a request is sent again.
