--- a/packages/bronzepaddle-node/src/bronzepaddle_node/peer_table.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/peer_table.py
@@ -53,6 +53,7 @@
         self.in_flight_at_report = 0
         self.outstanding = status.outstanding
         self.service_s = status.service_s
+        self.backlog_s = status.backlog_s
         self.starts_per_s = status.starts_per_s
 
     def update(self, status: statuses.Status, now: float) -> bool:
@@ -69,14 +70,26 @@
             return False
         self.status = status
         self.heard_at = self.status_received_at = now
-        self.record_load(status.outstanding, status.service_s)
-        self.starts_per_s = status.starts_per_s
+        self.record_load(
+            status.outstanding,
+            status.service_s,
+            status.backlog_s,
+            status.starts_per_s,
+        )
         return True
 
-    def record_load(self, outstanding: int, service_s: float) -> None:
+    def record_load(
+        self,
+        outstanding: int,
+        service_s: float,
+        backlog_s: float,
+        starts_per_s: float,
+    ) -> None:
         """Replace the load by the one that the peer reports."""
         self.outstanding = outstanding
         self.service_s = service_s
+        self.backlog_s = backlog_s
+        self.starts_per_s = starts_per_s
         self.in_flight_at_report = self.in_flight
 
     def load(self) -> int:
@@ -98,6 +111,13 @@
         return held[index].token
 
 
+def sample_weight(peer: Peer) -> float:
+    """Return how often a peer is drawn among many (``load_balancing``)."""
+    return load_balancing.sample_weight(
+        peer.starts_per_s, peer.status.slots, peer.service_s
+    )
+
+
 class PeerTable:
     """All known processes by name, this one included."""
 
@@ -188,6 +208,8 @@
             peer.service_s,
             status.warmup_left_s > 0,
             status.zone == self.zone,
+            backlog_s=peer.backlog_s,
+            sent_since=peer.in_flight - peer.in_flight_at_report,
             starts_per_s=peer.starts_per_s,
         )
 
@@ -202,7 +224,11 @@
         peer.in_flight -= 1
         if reply.has_load:
             peer.heard_at = max(peer.heard_at, now)
-            peer.record_load(reply.outstanding, reply.service_s)
-            peer.starts_per_s = reply.starts_per_s
+            peer.record_load(
+                reply.outstanding,
+                reply.service_s,
+                reply.backlog_s,
+                reply.starts_per_s,
+            )
         elif peer.status.sender != self.own_name:
             peer.avoid_until = now + AVOID_S
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
@@ -14,10 +14,8 @@
 """
 
 import asyncio
-import collections.abc
 import dataclasses
 import random
-import socket
 import typing
 
 from bronzepaddle import (
@@ -27,6 +25,7 @@
     ids,
     logs,
     route_table,
+    status,
     verdicts,
 )
 from bronzepaddle.load import load_balancing, retries, server_queue
@@ -40,6 +39,11 @@
     process_end,
     sidecar_metrics,
 )
+from bronzepaddle_node.requests import (
+    disconnects,
+    relative_costs,
+    route_explanation,
+)
 
 RESPONSE_MARGIN_S: typing.Final = 0.02
 """Time reserved for returning a response before its deadline."""
@@ -74,7 +78,8 @@
     was sent, and ``server_attempts`` those that may have reached a backend
     server, even if it shed the request.  ``tried_members`` are the processes
     that are not chosen again.  ``sent_attempts`` are the attempts that were
-    sent to a process, for the log.
+    sent to a process, for the log.  ``cost`` is what the request is expected
+    to cost.
     """
 
     request: buffered_app.BufferedRequest
@@ -84,6 +89,7 @@
     owner_wait_until: float
     keyed: bool
     late: bool
+    cost: relative_costs.Cost
     attempts: int = 0
     server_attempts: int = 0
     tried_members: set[ids.MemberId] = dataclasses.field(default_factory=set)
@@ -104,6 +110,7 @@
         metrics_recorder: sidecar_metrics.SidecarMetrics,
         clock: clocks.Clock,
         rng: random.Random,
+        costs: relative_costs.RelativeCosts | None = None,
     ) -> None:
         self.name = name
         self.caller_service = caller_service
@@ -114,6 +121,7 @@
         self.metrics_recorder = metrics_recorder
         self.clock = clock
         self.rng = rng
+        self.costs = costs or relative_costs.RelativeCosts()
         self.route_table: route_table.Table | None = None
         self.traffic_splitter = route_table.TrafficSplitter()
         # By route: the longest time that a request had on arrival until its
@@ -131,6 +139,21 @@
             for name in times_by_route.keys() - route_names:
                 del times_by_route[name]
 
+    def explain(
+        self, question: status.RouteQuestion
+    ) -> status.RouteExplanation:
+        """Return where a request would be sent now, without sending it."""
+        return route_explanation.explain(
+            question,
+            route_explanation.Known(
+                self.route_table,
+                self.peer_table,
+                self.costs,
+                self.caller_service,
+                self.clock.now(),
+            ),
+        )
+
     async def serve(
         self, request: buffered_app.BufferedRequest
     ) -> http_messages.Response:
@@ -140,7 +163,7 @@
         """
         started_at = self.clock.now()
         serving = asyncio.ensure_future(self._serve(request))
-        disconnect_watcher = _DisconnectWatcher(
+        disconnect_watcher = disconnects.DisconnectWatcher(
             request.caller_socket, serving.cancel
         )
         try:
@@ -242,6 +265,18 @@
             + OWNER_WAIT_SHARE * min(route.target_s, time_left_s),
             keyed=keyed,
             late=self._is_late_retry(request, route),
+            cost=self.costs.expected(
+                relative_costs.Request(
+                    service,
+                    route.name,
+                    request.method,
+                    request.target,
+                    len(request.body),
+                    request.key if keyed else buffered_app.NO_KEY,
+                    self.caller_service,
+                ),
+                started_at,
+            ),
         )
 
     def _is_late_retry(
@@ -395,9 +430,14 @@
         member = peer.status.sender
         progress.tried_members.add(member)
         heard_ago_s, load = now - peer.status_received_at, peer.load()
-        response = await self._send(
+        backlog_s, service_s = peer.backlog_s, peer.service_s
+        reply = await self._send(
             peer, self._forwarded_request(progress, peer, time_left_s)
         )
+        response = reply.response
+        self.costs.record(
+            progress.cost, reply.run_s, service_s, self.clock.now()
+        )
         progress.sent_attempts.append(
             logs.Attempt(
                 member,
@@ -407,6 +447,8 @@
                 response.verdict.value,
                 response.reason.value,
                 round(self.clock.now() - now, 4),
+                round(backlog_s, 4),
+                round(progress.cost.relative * service_s, 4),
             )
         )
         if (
@@ -428,7 +470,14 @@
             progress.service, now, progress.tried_members
         )
         chosen = load_balancing.choose_server(
-            [self.peer_table.candidate(peer) for peer in eligible], self.rng
+            [
+                self.peer_table.candidate(peer)
+                for peer in load_balancing.to_compare(
+                    eligible, self.rng, peer_table.sample_weight
+                )
+            ],
+            self.rng,
+            progress.cost.relative,
         )
         return None if chosen is None else self.peer_table.peers[chosen]
 
@@ -454,13 +503,14 @@
             target_s=route.target_s,
             late=progress.late,
             body=request.body,
+            relative_cost=progress.cost.relative,
         )
 
     async def _send(
         self,
         peer: peer_table.Peer,
         forwarded: stream_messages.ForwardedRequest,
-    ) -> http_messages.Response:
+    ) -> stream_client.Reply:
         """Serve a request here or send it to a peer, until its deadline.
 
         The peer's load and availability are updated by the reply, but not if
@@ -492,7 +542,7 @@
                 peer.in_flight -= 1
             else:
                 self.peer_table.record_reply(peer, reply, self.clock.now())
-        return reply.response
+        return reply
 
     def _reject(
         self,
@@ -518,44 +568,3 @@
     }
 )
 """Reasons of rejections that end once the key has an owner that serves it."""
-
-
-class _DisconnectWatcher:
-    """Watches for a disconnect of the caller while its request is served.
-
-    Calls ``on_disconnect`` if the caller closes the connection.
-    """
-
-    def __init__(
-        self,
-        connection: socket.socket | None,
-        on_disconnect: collections.abc.Callable[[], object],
-    ) -> None:
-        self.on_disconnect = on_disconnect
-        self.disconnected = False
-        self.loop = asyncio.get_running_loop()
-        self.connection = connection
-        if connection is not None:
-            self.loop.add_reader(connection.fileno(), self._on_readable)
-
-    def _on_readable(self) -> None:
-        """Distinguish a closed connection from one with the next request."""
-        connection = self.connection
-        if connection is None:
-            return
-        try:
-            peeked = connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return
-        except OSError:
-            peeked = b""
-        self.stop()
-        if not peeked:
-            self.disconnected = True
-            self.on_disconnect()
-
-    def stop(self) -> None:
-        """Stop watching."""
-        if self.connection is not None:
-            self.loop.remove_reader(self.connection.fileno())
-            self.connection = None
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -29,7 +29,7 @@
     sidecar_options,
     status,
 )
-from bronzepaddle.load import cold_servers, retries
+from bronzepaddle.load import cold_servers, expected_cost, retries
 from bronzepaddle_backend import key_grants, key_reports, server_tracker
 from bronzepaddle_callers import buffered_app, server
 from bronzepaddle_peers import (
@@ -65,6 +65,7 @@
 )
 from bronzepaddle_node.fleet import evacuations
 from bronzepaddle_node.keys import member_settings
+from bronzepaddle_node.requests import explanation_app, relative_costs
 
 CONTROL_THREADS: typing.Final = 3
 READY_THREADS: typing.Final = 2
@@ -138,6 +139,7 @@
             cold_servers.StartLimit(self.clock.now(), random.Random()),
             self.clock,
             self._on_server_lost,
+            expected_cost.CostModel(settings.cost_classes),
         )
         self.command_threads = grant_commands.CommandThreads()
         self.peer_streams = stream_client.Client()
@@ -157,6 +159,7 @@
             self.metrics_recorder,
             self.clock,
             random.Random(),
+            relative_costs.RelativeCosts(settings.cost_classes),
         )
         self.grpc_server: grpclib.server.Server | None = None
 
@@ -318,7 +321,14 @@
             CONTROL_THREADS,
         )
         self.readiness_server = self._http_server(
-            registry.Readiness(self._readiness),
+            registry.Readiness(
+                self._readiness,
+                explanation_app.ExplanationApp(
+                    lambda question: self._call_in_loop(
+                        lambda: self.router.explain(question)
+                    )
+                ),
+            ),
             settings.ready,
             READY_THREADS,
         )
@@ -559,6 +569,7 @@
                 else self.evacuations.reported()
             ),
             starts_per_s=self.local_backend.start_limit.starts_per_s(now),
+            backlog_s=self.local_backend.backlog_s(),
         )
 
     def _runtime_snapshot(self) -> runtime_stats.Snapshot:
@@ -591,6 +602,9 @@
         return sidecar_metrics.Readings(
             waiting=queue.waiting,
             running=queue.running,
+            backlog_s=self.local_backend.backlog_s(),
+            failure_share=self.local_backend.failure_share(),
+            cost_classes=len(self.local_backend.costs.values),
             retries_left=dict(self.retry_budgets.remaining),
             lease_left_s=self.reconciler.view.lease.remaining_s(now),
             keys_held=self.held_keys.size(now),
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_client.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_client.py
@@ -40,8 +40,9 @@
 class Reply:
     """A complete response from a peer, with the peer's load.
 
-    ``outstanding``, ``service_s`` and ``starts_per_s`` are the load, as in
-    ``statuses.Status``.
+    ``outstanding``, ``service_s``, ``backlog_s`` and ``starts_per_s`` are the
+    load, as in ``statuses.Status``.  ``run_s`` is the time that the backend
+    server took for the request, 0 if it did not serve it.
     ``has_load`` is not set if the stream broke: the response is then a
     rejection made by this process, without the peer's load.
     """
@@ -50,6 +51,8 @@
     outstanding: int = 0
     service_s: float = 0.0
     has_load: bool = False
+    backlog_s: float = 0.0
+    run_s: float = 0.0
     starts_per_s: float = 0.0
 
 
@@ -279,6 +282,8 @@
         head.outstanding,
         head.service_s,
         True,
+        backlog_s=head.backlog_s,
+        run_s=head.run_s,
         starts_per_s=head.starts_per_s,
     )
 
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_service.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_service.py
@@ -217,6 +217,8 @@
         piece=body[:size],
         more=len(body) > size,
         starts_per_s=reply.starts_per_s,
+        backlog_s=reply.backlog_s,
+        run_s=reply.run_s,
     )
     for start in range(size, len(body), size):
         yield stream_messages.BodyPiece(
--- a/packages/bronzepaddle/src/bronzepaddle/load/key_load.py
+++ b/packages/bronzepaddle/src/bronzepaddle/load/key_load.py
@@ -1,9 +1,10 @@
-"""Request rates of hot keys, counted at the server that owns the keys.
+"""Load of hot keys, counted at the server that owns the keys.
 
 Hot keys are often close together and change within seconds.  Requests are
 therefore counted by small groups of adjacent keys, with counts that decay
-quickly.  ``key_assignment`` moves the groups with the highest rates away from
-an overloaded server.
+quickly.  A request counts by its cost: one of ten times the usual cost is
+load as ten requests are.  ``key_assignment`` moves the groups with the highest
+rates away from an overloaded server.
 """
 
 import collections.abc
@@ -26,7 +27,10 @@
 
 
 class KeyGroupLoad(msgspec.Struct, frozen=True, array_like=True):
-    """Adjacent keys ``first`` to ``last`` with their requests per second."""
+    """Adjacent keys ``first`` to ``last`` with their load.
+
+    ``rate`` is the number of requests of usual cost per second.
+    """
 
     first: int
     last: int
@@ -41,11 +45,11 @@
         self.total = 0.0
         self.decayed_at = now
 
-    def count(self, key: int) -> None:
-        """Count one request for a key."""
+    def count(self, key: int, relative_cost: float = 1.0) -> None:
+        """Count a request for a key as so many of the usual cost."""
         group = key >> GROUP_BITS
-        self.counts[group] = self.counts.get(group, 0.0) + 1.0
-        self.total += 1.0
+        self.counts[group] = self.counts.get(group, 0.0) + relative_cost
+        self.total += relative_cost
 
     def decay(self, now: float) -> None:
         """Apply the decay of the counts since it was last applied."""
--- a/tests/support/local_processes.py
+++ b/tests/support/local_processes.py
@@ -11,7 +11,7 @@
 import typing
 
 from bronzepaddle import clocks, ids
-from bronzepaddle.load import cold_servers
+from bronzepaddle.load import cold_servers, expected_cost
 from bronzepaddle_backend import server_tracker
 from bronzepaddle_node import crash_detector, held_keys, local_backend
 from bronzepaddle_peers import pacing, stream_messages
@@ -85,6 +85,7 @@
         start_limit,
         clock,
         lambda: None,
+        expected_cost.CostModel(),
     )
     announce(local, slots=slots, **changes)
     return local
