Grant keys for as long as the work under them needs

Cause: grants by command last 1.5 s and are renewed at 0.45 of that, whatever runs under them; work that outlasts its grant ends with 500.

Change: the times of keyed work are learned; a grant lasts as long as almost all of it needs, up to [keys] work-hold-ms, and is renewed before less is left. A request that doesn't fit into the rest asks for a renewal and waits for it, 0.25 s at most, and is rejected as not run if the rest is shorter than the typical time. Log line keyed-run, four metrics.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/held_keys.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/held_keys.py
@@ -1,14 +1,18 @@
 """The key ranges that the backend server of this process holds.
 
-Every request looks its key up in ``HeldKeys``; ``reconciler`` updates it.
+Every request looks its key up in ``HeldKeys``; ``reconciler`` updates it.  A
+request that needs longer than its grant lasts asks there for a renewal.
 """
 
 import bisect
 import dataclasses
 
 from bronzepaddle import ids
+from bronzepaddle.load import grant_times
 from bronzepaddle_peers import statuses
 
+from bronzepaddle_node.keys import wanted_renewals
+
 
 @dataclasses.dataclass(frozen=True)
 class GrantedRange:
@@ -33,6 +37,8 @@
     def __init__(self) -> None:
         self.run = statuses.NO_SERVER_RUN
         self.ranges: list[GrantedRange] = []
+        self.work_times = grant_times.WorkTimes()
+        self.renewals = wanted_renewals.WantedRenewals()
 
     def set_run(self, run: str) -> None:
         """Set the run; a new run holds no keys, so the ranges are cleared."""
@@ -46,11 +52,14 @@
 
     def holds(self, key: int, now: float) -> bool:
         """Return whether requests for a key may be sent to the server now."""
+        return self.left_s(key, now) > 0
+
+    def left_s(self, key: int, now: float) -> float:
+        """Return how long requests for a key may still be sent."""
         index = bisect.bisect_right(self.ranges, key, key=_first) - 1
-        if index < 0:
-            return False
-        granted = self.ranges[index]
-        return key <= granted.last and now < granted.until
+        if index < 0 or key > self.ranges[index].last:
+            return 0.0
+        return max(0.0, self.ranges[index].until - now)
 
     def size(self, now: float) -> int:
         """Return the number of keys held now."""
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/keys/server_grants.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/keys/server_grants.py
@@ -16,6 +16,7 @@
 import typing
 
 from bronzepaddle import clocks, ids, key_ranges, logs
+from bronzepaddle.load import grant_times
 from bronzepaddle_backend import (
     connections,
     key_grants,
@@ -37,10 +38,6 @@
 RELEASE_RETRY_S: typing.Final = 0.5
 """Pause before a release that the server didn't answer is sent again."""
 
-RENEW_BELOW_SHARE: typing.Final = 0.45
-"""A grant is renewed once its remaining time is less than this share of the
-longest time of a grant."""
-
 
 class ServerGrants:
     """The grants to one backend server; for the event loop only.
@@ -118,7 +115,15 @@
             (current.first, current.last, current.token): current
             for current in self.held.ranges
         }
-        for key_range in own_ranges:
+        self._record_renewed_time()
+        renewals = self.held.renewals
+        wanted = renewals.wanted()
+        for key_range in sorted(
+            own_ranges,
+            key=lambda own: grant_times.most_urgent(
+                wanted, own.first, own.last
+            ),
+        ):
             if not self._announced_since_refusal():
                 return
             if not self.view.owns(key_range, self.held.run):
@@ -129,6 +134,24 @@
                 key_range,
                 held.get((key_range.first, key_range.last, key_range.token)),
             )
+            renewals.record_tried(wanted, key_range.first, key_range.last)
+
+    def _longest_hold_s(self) -> float:
+        """Return for how long the work of the server needs its grants."""
+        times = self.settings.times
+        bounds = grant_times.HoldBounds(
+            times.command_hold_s, times.longest_hold_s
+        )
+        work_s = self.held.work_times.longest_needed_s()
+        return min(
+            self.settings.max_hold_s, grant_times.hold_s(bounds, work_s)
+        )
+
+    def _record_renewed_time(self) -> None:
+        """Record how long a grant would last that is renewed now."""
+        self.held.renewals.renewed_s = self.view.lease.grant_duration_s(
+            self.clock.now(), self._longest_hold_s()
+        )
 
     def _announced_since_refusal(self) -> bool:
         """Return whether the server was heard of after it refused a command.
@@ -352,14 +375,17 @@
         ``current`` is the grant of exactly this range, if there is one.
         """
         now = self.clock.now()
-        times = self.settings.times
         if not self._is_free(key_range, now):
             return
-        longest_hold_s = min(self.settings.max_hold_s, times.command_hold_s)
+        longest_hold_s = self._longest_hold_s()
         hold_s = self.view.lease.grant_duration_s(now, longest_hold_s)
         if (
             current is not None
-            and current.until - now > RENEW_BELOW_SHARE * longest_hold_s
+            and not self._is_wanted(current, now + hold_s)
+            and current.until - now
+            > grant_times.renew_below_s(
+                longest_hold_s, self.held.work_times.longest_needed_s()
+            )
         ):
             return
         if hold_s < MIN_HOLD_S or (
@@ -368,6 +394,15 @@
             return
         await self._grant(key_range, hold_s, now)
 
+    def _is_wanted(
+        self, current: held_keys.GrantedRange, renewed_until: float
+    ) -> bool:
+        """Return whether a request waits for a renewal that is worth it."""
+        return (
+            renewed_until - current.until >= MIN_HOLD_S
+            and self.held.renewals.is_wanted(current.first, current.last)
+        )
+
     def _is_free(self, key_range: key_ranges.Range, now: float) -> bool:
         """Return whether no earlier holder can serve an own range any more.
 
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
@@ -10,10 +10,11 @@
 import asyncio
 import collections.abc
 import concurrent.futures
+import http
 import typing
 
 from bronzepaddle import clocks, http_messages, ids, logs, suspects, verdicts
-from bronzepaddle.load import key_load, server_queue
+from bronzepaddle.load import grant_times, key_load, server_queue
 from bronzepaddle_backend import connections, server_tracker
 from bronzepaddle_peers import pacing, stream_client, stream_messages
 
@@ -25,6 +26,9 @@
 These are the requests admitted before, and those for the keys that it holds.
 """
 
+MAX_RENEWAL_WAIT_S: typing.Final = 0.25
+"""Longest time for which a request waits for the renewal of its grant."""
+
 MOVING_RETRY_AFTER_S: typing.Final = 0.1
 """Retry-After of rejections while the server or the key is being moved."""
 
@@ -266,6 +270,11 @@
         try:
             if not await waiter:
                 return self._reject(verdicts.Reason.TOO_LATE)
+            if not await self._fits_grant(request, deadline):
+                return self._reject(
+                    verdicts.Reason.NOT_OWNER, MOVING_RETRY_AFTER_S
+                )
+            entry.started = self.clock.now()
             reason = self._rejection_reason(server_run, request, DRAIN_GRACE_S)
             if reason is not None:
                 return self._reject(reason, MOVING_RETRY_AFTER_S)
@@ -278,6 +287,47 @@
                 server_run.queue.remove(entry, self.clock.now(), False)
                 server_run.wake_waiters(self.clock.now())
 
+    async def _fits_grant(
+        self, request: stream_messages.ForwardedRequest, deadline: float
+    ) -> bool:
+        """Return whether a request can end within the grant of its key.
+
+        Waits for a renewal of the grant where that is needed.
+        """
+        renewals = self.held_keys.renewals
+        if request.key < 0 or renewals.renewed_s == 0.0:
+            return True
+        decision = self._grant_fit(request, deadline, may_wait=True)
+        if decision is grant_times.Fit.RENEW_FIRST:
+            await renewals.wait(
+                grant_times.WantedRenewal(request.key, request.rank, deadline),
+                min(MAX_RENEWAL_WAIT_S, deadline - self.clock.now()),
+            )
+            decision = self._grant_fit(request, deadline, may_wait=False)
+        if decision is grant_times.Fit.TOO_LONG:
+            renewals.rejected += 1
+        return decision is not grant_times.Fit.TOO_LONG
+
+    def _grant_fit(
+        self,
+        request: stream_messages.ForwardedRequest,
+        deadline: float,
+        may_wait: bool,
+    ) -> grant_times.Fit:
+        """Return whether a request fits into what is left of its grant."""
+        now = self.clock.now()
+        work_times = self.held_keys.work_times
+        rest = grant_times.GrantRest(
+            self.held_keys.left_s(request.key, now),
+            self.held_keys.renewals.renewed_s,
+        )
+        return grant_times.fit(
+            rest,
+            min(work_times.needed_s(request.route), deadline - now),
+            work_times.typical_s(request.route),
+            may_wait,
+        )
+
     async def _send(
         self,
         server_run: ServerRun,
@@ -302,6 +352,7 @@
         )
         cancellation = connections.Cancellation()
         server_run.sent_entries.add(entry)
+        left_s = self.held_keys.left_s(request.key, self.clock.now())
         sending = asyncio.get_running_loop().run_in_executor(
             self.workers,
             server_run.connections.send,
@@ -310,7 +361,7 @@
         )
         sending.add_done_callback(
             lambda future: self._on_worker_done(
-                server_run, entry, request, cancellation, future
+                server_run, entry, request, left_s, cancellation, future
             )
         )
         try:
@@ -324,13 +375,15 @@
         server_run: ServerRun,
         entry: server_queue.QueueEntry,
         request: stream_messages.ForwardedRequest,
+        left_s: float,
         cancellation: connections.Cancellation,
         future: "asyncio.Future[http_messages.Response]",
     ) -> None:
         """Release the slot once the worker thread is done.
 
-        Reports the outcome to the crash detector, and that the server refuses
-        connections, if it does.
+        ``left_s`` is what was left of the grant of its key when the request
+        was sent.  Reports the outcome to the crash detector, and that the
+        server refuses connections, if it does.
         """
         now = self.clock.now()
         response = None if future.cancelled() else future.result()
@@ -340,6 +393,10 @@
         server_run.wake_waiters(now)
         if response is None:
             return
+        if ran and request.key >= 0:
+            self._record_keyed_run(
+                request, response, left_s, now - entry.started
+            )
         if response.verdict is verdicts.Verdict.MAY_HAVE_RUN:
             logs.lost_at_server(
                 request.request_id,
@@ -362,6 +419,31 @@
             self.tracker.unreachable = True
             self.on_server_lost()
 
+    def _record_keyed_run(
+        self,
+        request: stream_messages.ForwardedRequest,
+        response: http_messages.Response,
+        left_s: float,
+        took_s: float,
+    ) -> None:
+        """Record how long a keyed request ran, and what its grant had left."""
+        failed = response.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
+        left_at_end_s = self.held_keys.left_s(request.key, self.clock.now())
+        cut_off = failed and min(left_s - took_s, left_at_end_s) <= 0
+        if cut_off or not failed:
+            self.held_keys.work_times.record(request.route, took_s, cut_off)
+        if cut_off:
+            self.held_keys.renewals.cut_off += 1
+        if failed or took_s > left_s:
+            logs.keyed_run(
+                request.request_id,
+                request.key,
+                response.status,
+                took_s,
+                left_s,
+                left_at_end_s,
+            )
+
     def _rejection_reason(
         self,
         server_run: ServerRun | None,
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/reconciler.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/reconciler.py
@@ -53,6 +53,7 @@
         self.clock = clock
         self.started_at = clock.now()
         self.wakeup = asyncio.Event()
+        held.renewals.on_wanted = self.wakeup.set
         self.view = ownership_view.OwnershipView(
             settings,
             object_store,
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar_metrics.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar_metrics.py
@@ -47,6 +47,12 @@
 
     ``unheld_s`` is the time for which keys assigned to this process were not
     held by its backend server, multiplied by their share of all keys.
+    ``work_needed_s`` is how long the work of the server needs its grants.
+    ``grant_waits``, ``grant_rejections`` and ``runs_cut_off`` count the keyed
+    requests that waited for the renewal of a grant, those that were rejected
+    as too little of it was left, and those that failed since they outlasted
+    it.
+
     ``ranges_moved`` counts the key ranges that this process has moved while
     it was the planner, the process that assigns the keys of a service.
 
@@ -62,6 +68,10 @@
     lease_left_s: float
     keys_held: int
     unheld_s: float
+    work_needed_s: float
+    grant_waits: int
+    grant_rejections: int
+    runs_cut_off: int
     ranges_moved: int
     config_version: int
     config_refused: bool
@@ -217,6 +227,7 @@
     ("bronzepaddle.retries.left", "", _observe_retries),
     ("bronzepaddle.lease.left", "s", _observe_field("lease_left_s")),
     ("bronzepaddle.keys.held", "", _observe_field("keys_held")),
+    ("bronzepaddle.work.needed", "s", _observe_field("work_needed_s")),
     ("bronzepaddle.config.version", "", _observe_field("config_version")),
     ("bronzepaddle.config.refused", "", _observe_field("config_refused")),
     (
@@ -234,6 +245,9 @@
 
 _COUNTERS: typing.Final = (
     ("bronzepaddle.keys.unheld", _observe_field("unheld_s")),
+    ("bronzepaddle.grant.waits", _observe_field("grant_waits")),
+    ("bronzepaddle.grant.rejections", _observe_field("grant_rejections")),
+    ("bronzepaddle.runs.cut_off", _observe_field("runs_cut_off")),
     ("bronzepaddle.ranges.moved", _observe_field("ranges_moved")),
     ("bronzepaddle.store.calls", _observe_store_calls),
     ("bronzepaddle.log.dropped", _observe_dropped_lines),
--- a/packages/bronzepaddle/src/bronzepaddle/logs.py
+++ b/packages/bronzepaddle/src/bronzepaddle/logs.py
@@ -223,6 +223,30 @@
     )
 
 
+def keyed_run(
+    request_id: ids.RequestId,
+    key: int,
+    status: int,
+    took_s: float,
+    left_s: float,
+    left_at_end_s: float,
+) -> None:
+    """Log a keyed request that failed, or outlasted what its grant had left.
+
+    ``left_s`` and ``left_at_end_s`` are what was left of the grant of its key
+    when it was sent and when its response arrived.
+    """
+    eliot.log_message(
+        message_type="keyed-run",
+        request_id=request_id,
+        key=key,
+        status=status,
+        took_s=round(took_s, 3),
+        left_s=round(left_s, 3),
+        left_at_end_s=round(left_at_end_s, 3),
+    )
+
+
 def order_failed(order: str, first: int, last: int, detail: str) -> None:
     """Log a grant or release that the backend server did not confirm."""
     eliot.log_message(
--- a/packages/bronzepaddle/src/bronzepaddle/sidecar_options.py
+++ b/packages/bronzepaddle/src/bronzepaddle/sidecar_options.py
@@ -29,7 +29,7 @@
     "peers": ("listen", "status-s", "link-mbps"),
     "platform": ("form", "address", "timeout-s", "calls-per-minute"),
     "backend": ("announce-ms", "threads"),
-    "keys": ("lease-s", "read-s", "most-hold-ms"),
+    "keys": ("lease-s", "read-s", "most-hold-ms", "work-hold-ms"),
     "retries": ("share", "slack"),
     "metrics": ("listen",),
     "log": ("lines-per-s", "burst"),
@@ -151,10 +151,7 @@
             )
             / 1000,
             backend_threads=self.integer("backend", "threads", 32, 1, 1000),
-            lease_times=store_leases.StoreLeaseTimes(
-                lease_s=self.number("keys", "lease-s", 3.0, 0.5, 60.0),
-                read_interval_s=self.number("keys", "read-s", 0.8, 0.05, 10.0),
-            ),
+            lease_times=self._lease_times(),
             max_hold_s=self.number(
                 "keys", "most-hold-ms", 10_000.0, 100.0, 600_000.0
             )
@@ -172,6 +169,22 @@
             ),
         )
 
+    def _lease_times(self) -> store_leases.StoreLeaseTimes:
+        """Read the times of the leases and of the grants under them."""
+        times = store_leases.StoreLeaseTimes(
+            lease_s=self.number("keys", "lease-s", 3.0, 0.5, 60.0),
+            read_interval_s=self.number("keys", "read-s", 0.8, 0.05, 10.0),
+            work_hold_s=self.number(
+                "keys", "work-hold-ms", 2000.0, 1500.0, 60_000.0
+            )
+            / 1000,
+        )
+        is_set = bool(self.text("keys", "work-hold-ms", ""))
+        if is_set and times.work_hold_s > times.lease_s:
+            detail = f"no grant is longer than lease-s, {times.lease_s:g} s"
+            self.add_error("out-of-range", "keys", "work-hold-ms", detail)
+        return times
+
     def _unknown_names(self) -> collections.abc.Iterator[tuple[str, str]]:
         """Yield unknown sections and keys."""
         for section in self.parser.sections():
--- a/packages/bronzepaddle/src/bronzepaddle/store_leases.py
+++ b/packages/bronzepaddle/src/bronzepaddle/store_leases.py
@@ -17,13 +17,15 @@
     ``lease_s`` is the time for which a read may be used, ``read_interval_s``
     the pause between reads of the grants.  ``drift`` bounds how much slower
     any clock may run than another, including that of the backend server.
-    ``margin_s`` covers scheduling delays of a thread.  ``command_hold_s`` is
-    the longest time of a grant by command: a server's keys wait for its end
-    after the server has crashed.
+    ``margin_s`` covers scheduling delays of a thread.  A grant by command
+    lasts for ``command_hold_s``, or up to ``work_hold_s`` where the work
+    needs it: a server's keys wait for its end after the server has
+    crashed.
     """
 
     lease_s: float = 3.0
     command_hold_s: float = 1.5
+    work_hold_s: float = 2.0
     read_interval_s: float = 0.8
     drift: float = 0.03
     margin_s: float = 0.15
@@ -36,7 +38,12 @@
     @property
     def command_wait_s(self) -> float:
         """Return the wait after which every earlier command has expired."""
-        return self.command_hold_s * (1 + self.drift) + self.margin_s
+        return self.longest_hold_s * (1 + self.drift) + self.margin_s
+
+    @property
+    def longest_hold_s(self) -> float:
+        """Return the longest time of any grant by command."""
+        return max(self.command_hold_s, self.work_hold_s)
 
 
 class StoreLease:
--- a/tests/support/broken_reconcilers.py
+++ b/tests/support/broken_reconcilers.py
@@ -369,11 +369,34 @@
 """Variants that mistake when a grant is over."""
 
 
+def _short_restart_wait() -> _Patches:
+    """Wait after a restart only for grants of the shortest duration."""
+    shortest = property(
+        lambda self: self.command_hold_s * (1 + self.drift) + self.margin_s
+    )
+    return [
+        unittest.mock.patch.object(
+            store_leases.StoreLeaseTimes, "command_wait_s", shortest
+        )
+    ]
+
+
+LONG_WORK_VARIANTS: typing.Final[
+    dict[str, collections.abc.Callable[[], _Patches]]
+] = {"short-restart-wait": _short_restart_wait}
+"""Variants that forget that long work has longer grants."""
+
+
 @contextlib.contextmanager
 def patched(variant: str) -> collections.abc.Iterator[None]:
     """Apply the patches of a variant; an empty name applies none."""
     with contextlib.ExitStack() as stack:
-        variants = VARIANTS | REPORT_VARIANTS | GRANT_END_VARIANTS
+        variants = (
+            VARIANTS
+            | REPORT_VARIANTS
+            | GRANT_END_VARIANTS
+            | LONG_WORK_VARIANTS
+        )
         for patch in variants[variant]() if variant else []:
             stack.enter_context(patch)
         yield
--- a/tests/test_sidecar_options.py
+++ b/tests/test_sidecar_options.py
@@ -65,6 +65,8 @@
         ("share = 0.2", "share = much", "[retries] share"),
         ("share = 0.2", "shares = 0.2", "[retries] shares"),
         ("[retries]", "[tries]", "[tries]"),
+        ("[retries]", "[keys]\nwork-hold-ms = 900", "[keys] work-hold-ms"),
+        ("[retries]", "[keys]\nwork-hold-ms = 4000", "[keys] work-hold-ms"),
     ],
 )
 def test_errors_name_the_section_and_the_key(
