Record in the store how long grants may last

Cause: with grants of up to 2 s for long work, keys of all servers waited for 2.30 s after a restart of all processes and servers in place of 1.70 s, in services with short work too.

Change: the planner writes into the ownership object once that its service needs longer grants; nobody grants for longer before that, and a process that starts anew waits as long as the object says. The value is never lowered.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/reconciler.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/reconciler.py
@@ -194,9 +194,23 @@
         after = self.planner.next_ownership(
             ownership, now, self.view.peers_read_at, self.lease_since
         )
+        if self.planner.is_planner:
+            after = self._allow_long_grants(after or ownership) or after
         if after is not None and await self.view.write(after):
             self.planner.record_written(after, now)
 
+    def _allow_long_grants(
+        self, ownership: key_ranges.Ownership | None
+    ) -> key_ranges.Ownership | None:
+        """Return an ownership that allows longer grants, None for no change.
+
+        Only the planner writes that; the servers of a service have similar
+        work.
+        """
+        if ownership is None:
+            return None
+        return self.grants.allow_long_grants(ownership)
+
     async def stop(self) -> None:
         """Cancel the running pulls and releases."""
         await self.view.stop()
--- a/packages/bronzepaddle/src/bronzepaddle/key_ranges.py
+++ b/packages/bronzepaddle/src/bronzepaddle/key_ranges.py
@@ -18,6 +18,9 @@
 
 from bronzepaddle import documents, ids, route_table
 
+MAX_LONGEST_HOLD_S: typing.Final = 600.0
+"""Maximum of ``Ownership.longest_hold_s``."""
+
 LAST_KEY: typing.Final = route_table.KEY_COUNT - 1
 
 
@@ -53,12 +56,18 @@
         return self.last - self.first + 1
 
 
-class Ownership(msgspec.Struct, frozen=True):
-    """All key ranges of one service, in order, without gaps or overlaps."""
+class Ownership(msgspec.Struct, frozen=True, omit_defaults=True):
+    """All key ranges of one service, in order, without gaps or overlaps.
+
+    ``longest_hold_s`` is how long grants by command may last where the work
+    of the servers needs it; 0 until it has.  It is never lowered, so a process
+    that starts anew finds here how long grants of before may last.
+    """
 
     service: ids.ServiceName
     next_token: ids.Token
     ranges: tuple[Range, ...]
+    longest_hold_s: float = 0.0
 
     def owned_by(self, member: ids.MemberId) -> list[Range]:
         """Return the ranges that a member owns."""
@@ -105,6 +114,8 @@
     next_token = ownership.next_token
     if next_token > documents.MAX_INTEGER:
         yield f"next token {next_token} is out of range"
+    if not 0 <= ownership.longest_hold_s <= MAX_LONGEST_HOLD_S:
+        yield f"longest hold {ownership.longest_hold_s} s is out of range"
     next_first = 0
     for key_range in ownership.ranges:
         name = f"range from {key_range.first} to {key_range.last}"
@@ -177,7 +188,9 @@
     if ranges == list(ownership.ranges):
         return None
     next_token = ids.Token(ownership.next_token + len(tokens))
-    return Ownership(ownership.service, next_token, _merge_adjacent(ranges))
+    return msgspec.structs.replace(
+        ownership, next_token=next_token, ranges=_merge_adjacent(ranges)
+    )
 
 
 def _split(
@@ -254,8 +267,10 @@
     )
     if ranges == ownership.ranges:
         return None
-    return Ownership(
-        ownership.service, ids.Token(token + 1), _merge_adjacent(ranges)
+    return msgspec.structs.replace(
+        ownership,
+        next_token=ids.Token(token + 1),
+        ranges=_merge_adjacent(ranges),
     )
 
 
--- a/packages/bronzepaddle/src/bronzepaddle/store_leases.py
+++ b/packages/bronzepaddle/src/bronzepaddle/store_leases.py
@@ -35,15 +35,13 @@
         """Return the wait after which every earlier lease has expired."""
         return self.lease_s * (1 + self.drift) + self.margin_s
 
-    @property
-    def command_wait_s(self) -> float:
-        """Return the wait after which every earlier command has expired."""
-        return self.longest_hold_s * (1 + self.drift) + self.margin_s
+    def command_wait_s(self, longest_hold_s: float) -> float:
+        """Return the wait after which every earlier command has expired.
 
-    @property
-    def longest_hold_s(self) -> float:
-        """Return the longest time of any grant by command."""
-        return max(self.command_hold_s, self.work_hold_s)
+        ``longest_hold_s`` is how long grants for long work may have lasted.
+        """
+        hold_s = min(self.lease_s, max(self.command_hold_s, longest_hold_s))
+        return hold_s * (1 + self.drift) + self.margin_s
 
 
 class StoreLease:
--- a/tests/support/broken_reconcilers.py
+++ b/tests/support/broken_reconcilers.py
@@ -371,19 +371,50 @@
 
 def _short_restart_wait() -> _Patches:
     """Wait after a restart only for grants of the shortest duration."""
-    shortest = property(
-        lambda self: self.command_hold_s * (1 + self.drift) + self.margin_s
-    )
+    original = store_leases.StoreLeaseTimes.command_wait_s
+
+    def command_wait_s(
+        self: store_leases.StoreLeaseTimes, _longest_hold_s: float
+    ) -> float:
+        return original(self, 0.0)
+
     return [
         unittest.mock.patch.object(
-            store_leases.StoreLeaseTimes, "command_wait_s", shortest
+            store_leases.StoreLeaseTimes, "command_wait_s", command_wait_s
+        )
+    ]
+
+
+def _unrecorded_long_grants() -> _Patches:
+    """Grant keys for longer than the ownership object allows."""
+
+    def recorded_longest_hold_s(self: server_grants.ServerGrants) -> float:
+        return self.settings.times.work_hold_s
+
+    def longest_wait_s(self: server_grants.ServerGrants) -> float:
+        return self.settings.times.command_wait_s(0.0)
+
+    def allow_long_grants(
+        _self: server_grants.ServerGrants, _ownership: key_ranges.Ownership
+    ) -> None:
+        return None
+
+    return [
+        unittest.mock.patch.multiple(
+            server_grants.ServerGrants,
+            _recorded_longest_hold_s=recorded_longest_hold_s,
+            _longest_wait_s=longest_wait_s,
+            allow_long_grants=allow_long_grants,
         )
     ]
 
 
 LONG_WORK_VARIANTS: typing.Final[
     dict[str, collections.abc.Callable[[], _Patches]]
-] = {"short-restart-wait": _short_restart_wait}
+] = {
+    "short-restart-wait": _short_restart_wait,
+    "unrecorded-long-grants": _unrecorded_long_grants,
+}
 """Variants that forget that long work has longer grants."""
 
 
--- a/tests/test_work_and_grants.py
+++ b/tests/test_work_and_grants.py
@@ -36,6 +36,11 @@
 """Rest of a grant that is too short for the long work."""
 
 
+SHORT_WAIT_S: typing.Final = 1.9
+"""Longest time without servers after a restart of all, if the work is short:
+that of a grant, and some checks of the reconcilers."""
+
+
 @contextlib.contextmanager
 def long_work() -> collections.abc.Iterator[None]:
     """Let all servers have long work."""
@@ -218,7 +223,31 @@
         simulated_fleet.run_scenario(process_restarts_after_a_long_grant, seed)
 
 
-CAUGHT_BY: typing.Final = {"short-restart-wait": 1}
+async def restart_after_short_work(
+    fleet: simulated_fleet.SimulatedFleet,
+) -> None:
+    """Check that keys wait no longer than grants for short work last."""
+    await simulated_fleet.start_all(fleet)
+    await asyncio.sleep(SETTLE_S)
+    for name in simulated_fleet.MEMBERS:
+        await fleet.kill(name)
+    for name in simulated_fleet.MEMBERS:
+        fleet.start_server(name)
+        fleet.start(name)
+    assert await fleet.wait_until_served(SETTLE_S) <= SHORT_WAIT_S
+
+
+@pytest.mark.parametrize("seed", range(1, 6))
+def test_restart_is_not_delayed_by_long_grants_that_nobody_had(
+    seed: int,
+) -> None:
+    simulated_fleet.run_scenario(restart_after_short_work, seed)
+
+
+CAUGHT_BY: typing.Final = {
+    "short-restart-wait": 1,
+    "unrecorded-long-grants": 1,
+}
 """For each broken build, the seed that must detect it."""
 
 
