Let requests ask for renewals sooner, and assume targets at first

Change: until ten runs are known a request needs its target time; it asks when a renewal gains 0.1 s, and grants are renewed unasked every 0.8 s as before.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/keys/server_grants.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/keys/server_grants.py
@@ -433,7 +433,7 @@
     ) -> bool:
         """Return whether a request waits for a renewal that is worth it."""
         return (
-            renewed_until - current.until >= MIN_HOLD_S
+            renewed_until - current.until >= grant_times.MIN_GAIN_S / 2
             and self.held.renewals.is_wanted(current.first, current.last)
         )
 
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
@@ -323,7 +323,10 @@
         )
         return grant_times.fit(
             rest,
-            min(work_times.needed_s(request.route), deadline - now),
+            min(
+                work_times.needed_s(request.route, request.target_s),
+                deadline - now,
+            ),
             work_times.typical_s(request.route),
             may_wait,
         )
--- a/packages/bronzepaddle/src/bronzepaddle/load/grant_times.py
+++ b/packages/bronzepaddle/src/bronzepaddle/load/grant_times.py
@@ -1,10 +1,11 @@
 """How long a server is granted its keys, for the work that runs under them.
 
-Work that outlasts the grant of its key fails, although the server has spent
-its time on it.  Goes in: the service times of keyed requests, and how much of
-a grant is left.  Comes out: how long a grant should last, below what rest it
-is renewed, and whether a request may be sent under what is left.  This module
-only decides; ``server_grants`` and ``local_backend`` carry the decisions out.
+Work that outlasts what was left of the grant of its key when it began fails,
+also if the grant has been renewed since.  Goes in: the service times of keyed
+requests, and how much of a grant is left.  Comes out: how long a grant should
+last, below what rest it is renewed, and whether a request may be sent under
+what is left.  This module only decides; ``server_grants`` and
+``local_backend`` carry the decisions out.
 
 It is built for these load patterns:
 
@@ -22,13 +23,13 @@
 import enum
 import typing
 
-NEEDED_SHARE: typing.Final = 0.98
+NEEDED_SHARE: typing.Final = 0.99
 """Share of the runs of a kind that end within the time it is said to need."""
 
 TYPICAL_SHARE: typing.Final = 0.5
 """Share of the runs of a kind that end within its typical time."""
 
-MIN_RUNS: typing.Final = 20.0
+MIN_RUNS: typing.Final = 10.0
 """Number of runs from which the times of a kind count as known."""
 
 REMEMBERED_RUNS: typing.Final = 200.0
@@ -46,10 +47,10 @@
 share of the time for which it would be granted again."""
 
 RENEWAL_INTERVAL_S: typing.Final = 0.8
-"""Time between two renewals of a grant that is as long as work needs it."""
+"""Time between two renewals of a grant that no request asks for."""
 
-MIN_RENEWAL_INTERVAL_S: typing.Final = 0.4
-"""Shortest time between two renewals that are not asked for by a request."""
+MIN_GAIN_S: typing.Final = 0.1
+"""Time by which a renewal must prolong a grant to be worth a command."""
 
 RENEWAL_AHEAD_S: typing.Final = 0.15
 """Time by which a renewal is due before work needs it: one interval of the
@@ -88,9 +89,13 @@
                 return bound_s
         return BUCKET_BOUNDS_S[-1]
 
-    def needed_s(self, kind: str) -> float:
-        """Return the time that almost all runs of a kind need at most."""
-        return self.within_s(kind, NEEDED_SHARE)
+    def needed_s(self, kind: str, target_s: float = 0.0) -> float:
+        """Return the time that almost all runs of a kind need at most.
+
+        It is ``target_s``, the target time of the kind, while too few runs are
+        known.
+        """
+        return self.within_s(kind, NEEDED_SHARE) or target_s
 
     def typical_s(self, kind: str) -> float:
         """Return the time that half the runs of a kind need at most."""
@@ -123,7 +128,7 @@
     """Return the rest below which a grant of ``granted_s`` is renewed."""
     return max(
         RENEW_BELOW_SHARE * granted_s,
-        min(work_s + RENEWAL_AHEAD_S, granted_s - MIN_RENEWAL_INTERVAL_S),
+        min(work_s + RENEWAL_AHEAD_S, granted_s - RENEWAL_INTERVAL_S),
     )
 
 
@@ -155,9 +160,7 @@
     A request that needs longer than any renewal lasts doesn't wait for one.
     ``may_wait`` is false once the request has waited for its renewal.
     """
-    worth_waiting = rest.left_s < min(
-        needed_s, rest.renewed_s - MIN_RENEWAL_INTERVAL_S
-    )
+    worth_waiting = rest.left_s < min(needed_s, rest.renewed_s - MIN_GAIN_S)
     if may_wait and worth_waiting:
         return Fit.RENEW_FIRST
     if rest.left_s < min(typical_s, needed_s):
