Let only one request wait while renewals stall

Cause: a request waits for a renewal in its slot; while the store or the server is slow, the check of the grants doesn't come round, and each long request would block a slot for 0.25 s in vain.

Change: after a wait that timed out the others decide by what is left, until a renewal has been tried again. Requests for keys that the server has lost meanwhile are woken at the end of the check.

Test: test_only_one_request_waits_while_commands_are_delayed, failing before.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/keys/server_grants.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/keys/server_grants.py
@@ -136,6 +136,8 @@
                 held.get((key_range.first, key_range.last, key_range.token)),
             )
             renewals.record_tried(wanted, key_range.first, key_range.last)
+        # The rest are for keys that this server doesn't hold any more.
+        renewals.record_tried(wanted, 0, key_ranges.LAST_KEY)
 
     def _longest_hold_s(self) -> float:
         """Return for how long the work of the server needs its grants."""
@@ -415,7 +417,7 @@
         hold_s = self.view.lease.grant_duration_s(now, longest_hold_s)
         if (
             current is not None
-            and not self._is_wanted(current, now + hold_s)
+            and not self.held.renewals.is_wanted(current.first, current.last)
             and current.until - now
             > grant_times.renew_below_s(
                 longest_hold_s, self.held.work_times.longest_needed_s()
@@ -428,15 +430,6 @@
             return
         await self._grant(key_range, hold_s, now)
 
-    def _is_wanted(
-        self, current: held_keys.GrantedRange, renewed_until: float
-    ) -> bool:
-        """Return whether a request waits for a renewal that is worth it."""
-        return (
-            renewed_until - current.until >= grant_times.MIN_GAIN_S / 2
-            and self.held.renewals.is_wanted(current.first, current.last)
-        )
-
     def _is_free(self, key_range: key_ranges.Range, now: float) -> bool:
         """Return whether no earlier holder can serve an own range any more.
 
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/keys/wanted_renewals.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/keys/wanted_renewals.py
@@ -17,6 +17,7 @@
 class WantedRenewals:
     """The requests that wait for renewals of their grants.
 
+    ``stalled`` is set while renewals take too long to wait for.
     ``on_wanted`` is called when a request begins to wait.  ``renewed_s`` is
     how long a grant would last that is renewed now, 0 if grants are not
     renewed by command.  ``waits`` counts the requests that have waited,
@@ -27,6 +28,7 @@
     def __init__(self) -> None:
         self.on_wanted: collections.abc.Callable[[], None] = _nobody
         self.renewed_s = 0.0
+        self.stalled = False
         self.waits = 0
         self.rejected = 0
         self.cut_off = 0
@@ -51,6 +53,7 @@
         last: int,
     ) -> None:
         """Wake those of ``wanted`` whose keys are in a range."""
+        self.stalled = False
         for waiter, renewal in self.waiting.items():
             if (
                 first <= renewal.key <= last
@@ -71,6 +74,6 @@
             async with asyncio.timeout(timeout_s):
                 await waiter
         except TimeoutError:
-            return
+            self.stalled = True
         finally:
             del self.waiting[waiter]
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
@@ -292,12 +292,14 @@
     ) -> bool:
         """Return whether a request can end within the grant of its key.
 
-        Waits for a renewal of the grant where that is needed.
+        Waits for a renewal of the grant where that is needed, unless renewals
+        take too long: then each request would block a slot in vain.
         """
         renewals = self.held_keys.renewals
         if request.key < 0 or renewals.renewed_s == 0.0:
             return True
-        decision = self._grant_fit(request, deadline, may_wait=True)
+        may_wait = not renewals.stalled
+        decision = self._grant_fit(request, deadline, may_wait)
         if decision is grant_times.Fit.RENEW_FIRST:
             await renewals.wait(
                 grant_times.WantedRenewal(request.key, request.rank, deadline),
--- a/tests/test_work_and_grants.py
+++ b/tests/test_work_and_grants.py
@@ -164,6 +164,26 @@
     simulated_fleet.run_scenario(request_arrives_when_little_is_left, seed)
 
 
+async def commands_are_delayed(fleet: simulated_fleet.SimulatedFleet) -> None:
+    await simulated_fleet.start_all(fleet)
+    await asyncio.sleep(SETTLE_S)
+    sender = Sender(fleet)
+    await sender.wait_until_left_s_is_below(LITTLE_LEFT_S)
+    fleet.send_delays_s[sender.process.name] = 1.0
+    sender.learn_long_work()
+    started_at = fleet.loop.time()
+    assert (await sender.send()).verdict is verdicts.Verdict.NOT_RUN
+    waited_s = fleet.loop.time() - started_at
+    assert waited_s <= local_backend.MAX_RENEWAL_WAIT_S + 0.01
+    assert (await sender.send()).verdict is verdicts.Verdict.NOT_RUN
+    assert fleet.loop.time() - started_at == pytest.approx(waited_s)
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_only_one_request_waits_while_commands_are_delayed(seed: int) -> None:
+    simulated_fleet.run_scenario(commands_are_delayed, seed)
+
+
 async def request_arrives_when_the_lease_ends(
     fleet: simulated_fleet.SimulatedFleet,
 ) -> None:
