Count a run as cut off only by what its grant had left

Cause: a 500 of a server's own counted as cut off if its key had moved, and as twice its time; responses of 504 after a deadline did too.

Change: only a 500 after the rest of the grant counts.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/keys/wanted_renewals.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/keys/wanted_renewals.py
@@ -11,7 +11,7 @@
 
 
 def _nobody() -> None:
-    """Stand for the callback while nothing renews grants."""
+    """Do nothing; the callback until a reconciler sets its own."""
 
 
 class WantedRenewals:
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
@@ -434,7 +434,10 @@
         """Record how long a keyed request ran, and what its grant had left."""
         failed = response.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
         left_at_end_s = self.held_keys.left_s(request.key, self.clock.now())
-        cut_off = failed and min(left_s - took_s, left_at_end_s) <= 0
+        cut_off = (
+            response.status == http.HTTPStatus.INTERNAL_SERVER_ERROR
+            and took_s >= left_s
+        )
         if cut_off or not failed:
             self.held_keys.work_times.record(request.route, took_s, cut_off)
         if cut_off:
--- a/tests/test_key_ranges.py
+++ b/tests/test_key_ranges.py
@@ -2,6 +2,7 @@
 
 import typing
 
+import msgspec
 import pytest
 from bronzepaddle import ids, key_assignment, key_ranges, route_table
 
@@ -146,3 +147,35 @@
     assert ownership is not None
     assert set(sizes(ownership)) == {"a", "b", "c"}
     assert sizes(ownership)["a"] > route_table.KEY_COUNT // 3
+
+
+def test_longest_hold_outlives_all_changes() -> None:
+    ownership = msgspec.structs.replace(
+        all_keys_owned_by(A, released=False), longest_hold_s=2.0
+    )
+    moved = key_ranges.move_keys(ownership, [key_ranges.Move(0, 9, B)])
+    assert moved is not None
+    regranted = key_ranges.regrant_to_new_run(moved, holder("a", "2"))
+    assert regranted is not None
+    released = key_ranges.mark_released(
+        regranted, 0, 9, regranted.ranges[0].token
+    )
+    assert released is not None
+    stored = key_ranges.decode(key_ranges.encode(released))
+    assert stored.longest_hold_s == 2.0
+
+
+def test_object_of_an_earlier_release_has_no_longest_hold() -> None:
+    ownership = all_keys_owned_by(A)
+    body = key_ranges.encode(ownership)
+    assert b"longest_hold_s" not in body
+    assert key_ranges.decode(body).longest_hold_s == 0.0
+
+
+@pytest.mark.parametrize("longest_hold_s", [-1.0, 601.0])
+def test_odd_longest_hold_is_an_error(longest_hold_s: float) -> None:
+    ownership = msgspec.structs.replace(
+        all_keys_owned_by(A), longest_hold_s=longest_hold_s
+    )
+    with pytest.raises(msgspec.DecodeError, match="longest hold"):
+        key_ranges.decode(key_ranges.encode(ownership))
