--- a/tests/test_work_and_grants.py
+++ b/tests/test_work_and_grants.py
@@ -51,11 +51,16 @@
 
 
 class RecordingExecutor(concurrent.futures.Executor):
-    """Serves each request at once; records what was left of its grant."""
+    """Runs each request for ``work_s``; records what was left of its grant.
+
+    The responses have the status ``status``.
+    """
 
     def __init__(self, process: simulated_fleet.Process) -> None:
         self.process = process
         self.left_s: list[float] = []
+        self.work_s = 0.0
+        self.status = 200
 
     def submit(
         self,
@@ -64,22 +69,22 @@
         *_arguments: typing.Any,
         **_options: typing.Any,
     ) -> concurrent.futures.Future[typing.Any]:
-        """Return the response, without calling the function."""
+        """Respond after the work, without calling the function."""
         now = self.process.clock.now()
         self.left_s.append(self.process.held.left_s(KEY, now))
         future: concurrent.futures.Future[typing.Any] = (
             concurrent.futures.Future()
         )
-        future.set_result(
-            http_messages.Response(
-                200,
-                (),
-                iter(()),
-                verdicts.Verdict.RAN,
-                verdicts.Reason.SERVED,
-                self.process.name,
-            )
+        response = http_messages.Response(
+            self.status,
+            (),
+            iter(()),
+            verdicts.Verdict.RAN,
+            verdicts.Reason.SERVED,
+            self.process.name,
         )
+        loop = self.process.fleet.loop
+        loop.call_later(self.work_s, future.set_result, response)
         return future
 
 
@@ -164,6 +169,37 @@
     simulated_fleet.run_scenario(request_arrives_when_little_is_left, seed)
 
 
+async def work_outlasts_its_grant(
+    fleet: simulated_fleet.SimulatedFleet,
+) -> None:
+    """Let work outlast its grants until its times are known.
+
+    A server's own failure doesn't count.
+    """
+    await simulated_fleet.start_all(fleet)
+    await asyncio.sleep(SETTLE_S)
+    sender = Sender(fleet)
+    sender.executor.status = 500
+    await sender.send()
+    renewals = sender.process.held.renewals
+    assert renewals.cut_off == 0
+    sender.executor.work_s = LONG_WORK_S + 0.2
+    unknown_runs = int(grant_times.MIN_RUNS) + 1
+    for count in range(1, unknown_runs + 1):
+        await sender.send()
+        assert renewals.cut_off == count
+    needed_s = sender.process.held.work_times.needed_s(ROUTE)
+    assert needed_s > sender.executor.work_s
+    await asyncio.sleep(SETTLE_S)
+    await sender.send()
+    assert renewals.cut_off == unknown_runs
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_work_that_outlasts_its_grant_is_learned(seed: int) -> None:
+    simulated_fleet.run_scenario(work_outlasts_its_grant, seed)
+
+
 async def commands_are_delayed(fleet: simulated_fleet.SimulatedFleet) -> None:
     await simulated_fleet.start_all(fleet)
     await asyncio.sleep(SETTLE_S)
