--- a/packages/bronzepaddle-node/src/bronzepaddle_node/held_keys.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/held_keys.py
@@ -31,7 +31,8 @@
     """The currently granted ranges, sorted; for the event loop only.
 
     ``run`` identifies the run of the server, which changes when the server
-    restarts.
+    restarts.  ``work_times`` are the service times of requests for the keys,
+    ``renewals`` the requests that wait until their key's grant is renewed.
     """
 
     def __init__(self) -> None:
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
@@ -10,15 +10,15 @@
 import asyncio
 import collections.abc
 import concurrent.futures
-import http
 import typing
 
 from bronzepaddle import clocks, http_messages, ids, logs, suspects, verdicts
-from bronzepaddle.load import grant_times, key_load, server_queue
+from bronzepaddle.load import key_load, server_queue
 from bronzepaddle_backend import connections, server_tracker
 from bronzepaddle_peers import pacing, stream_client, stream_messages
 
 from bronzepaddle_node import crash_detector, held_keys, process_end
+from bronzepaddle_node.keys import keyed_work
 
 DRAIN_GRACE_S: typing.Final = 1.0
 """Time for which a draining server is still sent requests.
@@ -26,9 +26,6 @@
 These are the requests admitted before, and those for the keys that it holds.
 """
 
-MAX_RENEWAL_WAIT_S: typing.Final = 0.25
-"""Longest time for which a request waits for the renewal of its grant."""
-
 MOVING_RETRY_AFTER_S: typing.Final = 0.1
 """Retry-After of rejections while the server or the key is being moved."""
 
@@ -103,6 +100,7 @@
         self.in_flight = 0
         self.process_end = process_end.NEVER
         self.key_load = key_load.KeyLoadCounter(clock.now())
+        self.keyed_work = keyed_work.KeyedWork(granted_keys, clock)
 
     def on_announcement(
         self, announcement: server_tracker.Announcement
@@ -270,7 +268,7 @@
         try:
             if not await waiter:
                 return self._reject(verdicts.Reason.TOO_LATE)
-            if not await self._fits_grant(request, deadline):
+            if not await self.keyed_work.fits_grant(request, deadline):
                 return self._reject(
                     verdicts.Reason.NOT_OWNER, MOVING_RETRY_AFTER_S
                 )
@@ -287,52 +285,6 @@
                 server_run.queue.remove(entry, self.clock.now(), False)
                 server_run.wake_waiters(self.clock.now())
 
-    async def _fits_grant(
-        self, request: stream_messages.ForwardedRequest, deadline: float
-    ) -> bool:
-        """Return whether a request can end within the grant of its key.
-
-        Waits for a renewal of the grant where that is needed, unless renewals
-        take too long: then each request would block a slot in vain.
-        """
-        renewals = self.held_keys.renewals
-        if request.key < 0 or renewals.renewed_s == 0.0:
-            return True
-        may_wait = not renewals.stalled
-        decision = self._grant_fit(request, deadline, may_wait)
-        if decision is grant_times.Fit.RENEW_FIRST:
-            await renewals.wait(
-                grant_times.WantedRenewal(request.key, request.rank, deadline),
-                min(MAX_RENEWAL_WAIT_S, deadline - self.clock.now()),
-            )
-            decision = self._grant_fit(request, deadline, may_wait=False)
-        if decision is grant_times.Fit.TOO_LONG:
-            renewals.rejected += 1
-        return decision is not grant_times.Fit.TOO_LONG
-
-    def _grant_fit(
-        self,
-        request: stream_messages.ForwardedRequest,
-        deadline: float,
-        may_wait: bool,
-    ) -> grant_times.Fit:
-        """Return whether a request fits into what is left of its grant."""
-        now = self.clock.now()
-        work_times = self.held_keys.work_times
-        rest = grant_times.GrantRest(
-            self.held_keys.left_s(request.key, now),
-            self.held_keys.renewals.renewed_s,
-        )
-        return grant_times.fit(
-            rest,
-            min(
-                work_times.needed_s(request.route, request.target_s),
-                deadline - now,
-            ),
-            work_times.typical_s(request.route),
-            may_wait,
-        )
-
     async def _send(
         self,
         server_run: ServerRun,
@@ -399,7 +351,7 @@
         if response is None:
             return
         if ran and request.key >= 0:
-            self._record_keyed_run(
+            self.keyed_work.record_run(
                 request, response, left_s, now - entry.started
             )
         if response.verdict is verdicts.Verdict.MAY_HAVE_RUN:
@@ -424,34 +376,6 @@
             self.tracker.unreachable = True
             self.on_server_lost()
 
-    def _record_keyed_run(
-        self,
-        request: stream_messages.ForwardedRequest,
-        response: http_messages.Response,
-        left_s: float,
-        took_s: float,
-    ) -> None:
-        """Record how long a keyed request ran, and what its grant had left."""
-        failed = response.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
-        left_at_end_s = self.held_keys.left_s(request.key, self.clock.now())
-        cut_off = (
-            response.status == http.HTTPStatus.INTERNAL_SERVER_ERROR
-            and took_s >= left_s
-        )
-        if cut_off or not failed:
-            self.held_keys.work_times.record(request.route, took_s, cut_off)
-        if cut_off:
-            self.held_keys.renewals.cut_off += 1
-        if failed or took_s > left_s:
-            logs.keyed_run(
-                request.request_id,
-                request.key,
-                response.status,
-                took_s,
-                left_s,
-                left_at_end_s,
-            )
-
     def _rejection_reason(
         self,
         server_run: ServerRun | None,
--- a/packages/bronzepaddle/src/bronzepaddle/load/grant_times.py
+++ b/packages/bronzepaddle/src/bronzepaddle/load/grant_times.py
@@ -4,8 +4,8 @@
 also if the grant has been renewed since.  Goes in: the service times of keyed
 requests, and how much of a grant is left.  Comes out: how long a grant should
 last, below what rest it is renewed, and whether a request may be sent under
-what is left.  This module only decides; ``server_grants`` and
-``local_backend`` carry the decisions out.
+what is left.  This module only decides; ``server_grants`` and ``keyed_work``
+carry the decisions out.
 
 It is built for these load patterns:
 
--- a/tests/test_work_and_grants.py
+++ b/tests/test_work_and_grants.py
@@ -16,6 +16,7 @@
 from bronzepaddle import http_messages, ids, store_leases, verdicts
 from bronzepaddle.load import grant_times
 from bronzepaddle_node import crash_detector, local_backend
+from bronzepaddle_node.keys import keyed_work
 from bronzepaddle_peers import pacing, stream_client, stream_messages
 from bronzepaddle_platform import header_names
 from support import (
@@ -210,7 +211,7 @@
     started_at = fleet.loop.time()
     assert (await sender.send()).verdict is verdicts.Verdict.NOT_RUN
     waited_s = fleet.loop.time() - started_at
-    assert waited_s <= local_backend.MAX_RENEWAL_WAIT_S + 0.01
+    assert waited_s <= keyed_work.MAX_RENEWAL_WAIT_S + 0.01
     assert (await sender.send()).verdict is verdicts.Verdict.NOT_RUN
     assert fleet.loop.time() - started_at == pytest.approx(waited_s)
 
