--- a/packages/bronzepaddle-node/src/bronzepaddle_node/keys/server_grants.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/keys/server_grants.py
@@ -15,7 +15,6 @@
 import collections.abc
 import typing
 
-import msgspec
 from bronzepaddle import clocks, ids, key_ranges, logs
 from bronzepaddle.load import grant_times
 from bronzepaddle_backend import (
@@ -31,7 +30,11 @@
     reported_grants,
     tasks,
 )
-from bronzepaddle_node.keys import member_settings, ownership_view
+from bronzepaddle_node.keys import (
+    hold_times,
+    member_settings,
+    ownership_view,
+)
 
 MIN_HOLD_S: typing.Final = 0.1
 """Minimum duration of a grant; a shorter one is not worth a command."""
@@ -69,6 +72,7 @@
         self.wakeup = wakeup
         self.clock = clock
         self.started_at = clock.now()
+        self.hold_times = hold_times.HoldTimes(settings, view, held)
         # When a command last found no connection to the server.
         self.not_connected_at = float("-inf")
         # The tokens of the ranges that were granted to another run of the
@@ -139,54 +143,10 @@
         # The rest are for keys that this server doesn't hold any more.
         renewals.record_tried(wanted, 0, key_ranges.LAST_KEY)
 
-    def _longest_hold_s(self) -> float:
-        """Return for how long the work of the server needs its grants."""
-        times = self.settings.times
-        return self._needed_hold_s(
-            min(times.work_hold_s, self._recorded_longest_hold_s())
-        )
-
-    def _needed_hold_s(self, longest_s: float) -> float:
-        """Return for how long the work needs its grants, up to a bound."""
-        shortest_s = self.settings.times.command_hold_s
-        bounds = grant_times.HoldBounds(shortest_s, max(shortest_s, longest_s))
-        work_s = self.held.work_times.longest_needed_s()
-        return min(
-            self.settings.max_hold_s, grant_times.hold_s(bounds, work_s)
-        )
-
-    def _recorded_longest_hold_s(self) -> float:
-        """Return how long grants may last by the latest known ownership."""
-        latest = self.view.latest
-        return (
-            0.0
-            if latest is None or latest.ownership is None
-            else latest.ownership.longest_hold_s
-        )
-
-    def allow_long_grants(
-        self, ownership: key_ranges.Ownership
-    ) -> key_ranges.Ownership | None:
-        """Return an ownership that allows the grants that long work needs.
-
-        None if it does already.  Only once that is in the store may grants
-        last longer, since a process that starts anew waits for no longer ones.
-        """
-        longest_s = self.settings.times.work_hold_s
-        allowed_s = max(
-            ownership.longest_hold_s, self.settings.times.command_hold_s
-        )
-        if (
-            self.takes_grants_by_report()
-            or self._needed_hold_s(longest_s) <= allowed_s
-        ):
-            return None
-        return msgspec.structs.replace(ownership, longest_hold_s=longest_s)
-
     def _record_renewed_time(self) -> None:
         """Record how long a grant would last that is renewed now."""
         self.held.renewals.renewed_s = self.view.lease.grant_duration_s(
-            self.clock.now(), self._longest_hold_s()
+            self.clock.now(), self.hold_times.longest_hold_s()
         )
 
     def _announced_since_refusal(self) -> bool:
@@ -413,7 +373,7 @@
         now = self.clock.now()
         if not self._is_free(key_range, now):
             return
-        longest_hold_s = self._longest_hold_s()
+        longest_hold_s = self.hold_times.longest_hold_s()
         hold_s = self.view.lease.grant_duration_s(now, longest_hold_s)
         if (
             current is not None
@@ -453,7 +413,7 @@
         return (
             times.wait_s
             if self.takes_grants_by_report()
-            else times.command_wait_s(self._recorded_longest_hold_s())
+            else times.command_wait_s(self.hold_times.recorded_longest_s())
         )
 
     async def _grant(
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/reconciler.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/reconciler.py
@@ -207,9 +207,9 @@
         Only the planner writes that; the servers of a service have similar
         work.
         """
-        if ownership is None:
+        if ownership is None or self.grants.takes_grants_by_report():
             return None
-        return self.grants.allow_long_grants(ownership)
+        return self.grants.hold_times.allow_long_grants(ownership)
 
     async def stop(self) -> None:
         """Cancel the running pulls and releases."""
--- a/tests/support/broken_reconcilers.py
+++ b/tests/support/broken_reconcilers.py
@@ -12,7 +12,7 @@
 from bronzepaddle import ids, key_ranges, store_leases
 from bronzepaddle_backend import connections, key_grants, key_reports
 from bronzepaddle_node import issued_grants, reconciler, reported_grants
-from bronzepaddle_node.keys import server_grants
+from bronzepaddle_node.keys import hold_times, server_grants
 from bronzepaddle_peers import statuses
 
 _Patches: typing.TypeAlias = list[typing.Any]
@@ -388,24 +388,26 @@
 def _unrecorded_long_grants() -> _Patches:
     """Grant keys for longer than the ownership object allows."""
 
-    def recorded_longest_hold_s(self: server_grants.ServerGrants) -> float:
+    def recorded_longest_s(self: hold_times.HoldTimes) -> float:
         return self.settings.times.work_hold_s
 
     def longest_wait_s(self: server_grants.ServerGrants) -> float:
         return self.settings.times.command_wait_s(0.0)
 
     def allow_long_grants(
-        _self: server_grants.ServerGrants, _ownership: key_ranges.Ownership
+        _self: hold_times.HoldTimes, _ownership: key_ranges.Ownership
     ) -> None:
         return None
 
     return [
         unittest.mock.patch.multiple(
-            server_grants.ServerGrants,
-            _recorded_longest_hold_s=recorded_longest_hold_s,
-            _longest_wait_s=longest_wait_s,
+            hold_times.HoldTimes,
+            recorded_longest_s=recorded_longest_s,
             allow_long_grants=allow_long_grants,
-        )
+        ),
+        unittest.mock.patch.object(
+            server_grants.ServerGrants, "_longest_wait_s", longest_wait_s
+        ),
     ]
 
 
