--- a/packages/bronzepaddle-node/src/bronzepaddle_node/keys/server_grants.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/keys/server_grants.py
@@ -16,6 +16,7 @@
 import typing
 
 from bronzepaddle import clocks, ids, key_ranges, logs
+from bronzepaddle.load import grant_times
 from bronzepaddle_backend import (
     connections,
     key_grants,
@@ -29,7 +30,11 @@
     reported_grants,
     tasks,
 )
-from bronzepaddle_node.keys import member_settings, ownership_view
+from bronzepaddle_node.keys import (
+    hold_times,
+    member_settings,
+    ownership_view,
+)
 
 MIN_HOLD_S: typing.Final = 0.1
 """Minimum duration of a grant; a shorter one is not worth a command."""
@@ -37,10 +42,6 @@
 RELEASE_RETRY_S: typing.Final = 0.5
 """Pause before a release that the server didn't answer is sent again."""
 
-RENEW_BELOW_SHARE: typing.Final = 0.45
-"""A grant is renewed once its remaining time is less than this share of the
-longest time of a grant."""
-
 
 class ServerGrants:
     """The grants to one backend server; for the event loop only.
@@ -71,6 +72,7 @@
         self.wakeup = wakeup
         self.clock = clock
         self.started_at = clock.now()
+        self.hold_times = hold_times.HoldTimes(settings, view, held)
         # When a command last found no connection to the server.
         self.not_connected_at = float("-inf")
         # The tokens of the ranges that were granted to another run of the
@@ -118,7 +120,15 @@
             (current.first, current.last, current.token): current
             for current in self.held.ranges
         }
-        for key_range in own_ranges:
+        self._record_renewed_time()
+        renewals = self.held.renewals
+        wanted = renewals.wanted()
+        for key_range in sorted(
+            own_ranges,
+            key=lambda own: grant_times.most_urgent(
+                wanted, own.first, own.last
+            ),
+        ):
             if not self._announced_since_refusal():
                 return
             if not self.view.owns(key_range, self.held.run):
@@ -129,6 +139,15 @@
                 key_range,
                 held.get((key_range.first, key_range.last, key_range.token)),
             )
+            renewals.record_tried(wanted, key_range.first, key_range.last)
+        # The rest are for keys that this server doesn't hold any more.
+        renewals.record_tried(wanted, 0, key_ranges.LAST_KEY)
+
+    def _record_renewed_time(self) -> None:
+        """Record how long a grant would last that is renewed now."""
+        self.held.renewals.renewed_s = self.view.lease.grant_duration_s(
+            self.clock.now(), self.hold_times.longest_hold_s()
+        )
 
     def _announced_since_refusal(self) -> bool:
         """Return whether the server was heard of after it refused a command.
@@ -352,14 +371,17 @@
         ``current`` is the grant of exactly this range, if there is one.
         """
         now = self.clock.now()
-        times = self.settings.times
         if not self._is_free(key_range, now):
             return
-        longest_hold_s = min(self.settings.max_hold_s, times.command_hold_s)
+        longest_hold_s = self.hold_times.longest_hold_s()
         hold_s = self.view.lease.grant_duration_s(now, longest_hold_s)
         if (
             current is not None
-            and current.until - now > RENEW_BELOW_SHARE * longest_hold_s
+            and not self.held.renewals.is_wanted(current.first, current.last)
+            and current.until - now
+            > grant_times.renew_below_s(
+                longest_hold_s, self.held.work_times.longest_needed_s()
+            )
         ):
             return
         if hold_s < MIN_HOLD_S or (
@@ -391,7 +413,7 @@
         return (
             times.wait_s
             if self.takes_grants_by_report()
-            else times.command_wait_s
+            else times.command_wait_s(self.hold_times.recorded_longest_s())
         )
 
     async def _grant(
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
@@ -23,6 +23,7 @@
 from bronzepaddle_peers import pacing, stream_client, stream_messages
 
 from bronzepaddle_node import crash_detector, held_keys, process_end
+from bronzepaddle_node.keys import keyed_work
 from bronzepaddle_node.requests import server_runs
 
 DRAIN_GRACE_S: typing.Final = 1.0
@@ -72,6 +73,7 @@
         self.in_flight = 0
         self.process_end = process_end.NEVER
         self.key_load = key_load.KeyLoadCounter(clock.now())
+        self.keyed_work = keyed_work.KeyedWork(granted_keys, clock)
 
     def on_announcement(
         self, announcement: server_tracker.Announcement
@@ -94,7 +96,7 @@
             current.wake_waiters(self.clock.now())
             return
         if current is not None:
-            current.connections.close()
+            current.close()
             if not current.leaving:
                 self.crash_detector.on_run_crashed()
         self.crash_detector.on_new_run()
@@ -117,6 +119,9 @@
             self.clock,
         )
         self.held_keys.set_run(announcement.run)
+        if current is not None:
+            # What waited for the run before this one is rejected by now.
+            current.give_up_waiting()
 
     def _record_coldness(
         self, announcement: server_tracker.Announcement
@@ -208,9 +213,15 @@
         return self._reply(request, response)
 
     async def handle(
-        self, request: stream_messages.ForwardedRequest
+        self,
+        request: stream_messages.ForwardedRequest,
+        timeout_s: float | None = None,
     ) -> stream_client.Reply:
-        """Return the reply to a request from a peer or from this process."""
+        """Return the reply to a request from a peer or from this process.
+
+        After ``timeout_s``, if given, the request is cancelled.  The reply
+        then says that it has not run only if it was not handed to the server.
+        """
         server_run = self.server_run
         if server_run is None:
             return self._reply(
@@ -222,13 +233,34 @@
             case http_messages.Response():
                 return self._reply(request, admitted)
             case server_queue.QueueEntry():
-                response = await self._wait_and_send(
-                    server_run, admitted, request
-                )
+                try:
+                    async with asyncio.timeout(timeout_s):
+                        response = await self._wait_and_send(
+                            server_run, admitted, request
+                        )
+                except TimeoutError:
+                    response = self._reject_at_deadline(server_run, admitted)
                 return self._reply(request, response, admitted.run_s)
             case _:
                 typing.assert_never(admitted)
 
+    def _reject_at_deadline(
+        self,
+        server_run: server_runs.ServerRun,
+        entry: server_queue.QueueEntry,
+    ) -> http_messages.Response:
+        """Return the rejection of a request whose time is over."""
+        if entry.handed_over:
+            return http_messages.rejection(
+                verdicts.Reason.DEADLINE,
+                self.name,
+                verdicts.Verdict.MAY_HAVE_RUN,
+            )
+        return self._reject(
+            verdicts.Reason.TOO_LATE,
+            server_run.queue.retry_after_s(self.clock.now()),
+        )
+
     def _reply(
         self,
         request: stream_messages.ForwardedRequest,
@@ -305,14 +337,12 @@
         server_run.wake_waiters(self.clock.now())
         try:
             if not await waiter:
-                return http_messages.rejection(
-                    verdicts.Reason.TOO_LATE,
-                    self.name,
-                    retry_after_s=server_run.queue.retry_after_s(
-                        self.clock.now()
-                    ),
-                    detail="did not get a slot in time",
+                return self._refuse_waiting(server_run, request)
+            if not await self.keyed_work.fits_grant(request, entry.deadline):
+                return self._reject(
+                    verdicts.Reason.NOT_OWNER, MOVING_RETRY_AFTER_S
                 )
+            entry.started = self.clock.now()
             reason = self._rejection_reason(server_run, request, DRAIN_GRACE_S)
             if reason is not None:
                 return self._reject(reason, MOVING_RETRY_AFTER_S)
@@ -321,10 +351,31 @@
             self.in_flight -= 1
             server_run.slot_waiters.pop(entry, None)
             # A sent request keeps its slot until its worker thread is done.
-            if entry not in server_run.sent_entries:
-                server_run.queue.remove(entry, self.clock.now(), False)
+            if not entry.handed_over:
+                server_run.queue.remove_not_sent(entry, self.clock.now())
                 server_run.wake_waiters(self.clock.now())
 
+    def _refuse_waiting(
+        self,
+        server_run: server_runs.ServerRun,
+        request: stream_messages.ForwardedRequest,
+    ) -> http_messages.Response:
+        """Return the rejection of a request that is given up while it waits.
+
+        If its server has ended, another one may still run it.
+        """
+        reason = self._rejection_reason(server_run, request, DRAIN_GRACE_S)
+        if reason is None and self.tracker.unreachable:
+            reason = verdicts.Reason.SERVER_ENDED
+        if reason is not None:
+            return self._reject(reason, MOVING_RETRY_AFTER_S)
+        return http_messages.rejection(
+            verdicts.Reason.TOO_LATE,
+            self.name,
+            retry_after_s=server_run.queue.retry_after_s(self.clock.now()),
+            detail="did not get a slot in time",
+        )
+
     async def _send(
         self,
         server_run: server_runs.ServerRun,
@@ -348,6 +399,8 @@
         )
         cancellation = connections.Cancellation()
         server_run.sent_entries.add(entry)
+        entry.handed_over = True
+        left_s = self.held_keys.left_s(request.key, self.clock.now())
         sending = asyncio.get_running_loop().run_in_executor(
             self.workers,
             server_run.connections.send,
@@ -356,7 +409,7 @@
         )
         sending.add_done_callback(
             lambda future: self._on_worker_done(
-                server_run, entry, request, cancellation, future
+                server_run, entry, request, left_s, cancellation, future
             )
         )
         try:
@@ -370,13 +423,15 @@
         server_run: server_runs.ServerRun,
         entry: server_queue.QueueEntry,
         request: stream_messages.ForwardedRequest,
+        left_s: float,
         cancellation: connections.Cancellation,
         future: "asyncio.Future[http_messages.Response]",
     ) -> None:
         """Release the slot once the worker thread is done.
 
-        Reports the outcome to the crash detector, and that the server refuses
-        connections, if it does.
+        ``left_s`` is what was left of the grant of its key when the request
+        was sent.  Reports the outcome to the crash detector, and that the
+        server refuses connections, if it does.
         """
         now = self.clock.now()
         response = None if future.cancelled() else future.result()
@@ -389,6 +444,10 @@
         server_run.wake_waiters(now)
         if response is None:
             return
+        if ran and request.key >= 0:
+            self.keyed_work.record_run(
+                request, response, left_s, now - entry.started
+            )
         if response.verdict is verdicts.Verdict.MAY_HAVE_RUN:
             logs.lost_at_server(
                 request.request_id,
@@ -409,6 +468,7 @@
             if not server_run.leaving:
                 self.crash_detector.on_run_crashed()
             self.tracker.unreachable = True
+            server_run.give_up_waiting()
             self.on_server_lost()
 
     def _record_reported_speed(
@@ -438,6 +498,8 @@
         now = self.clock.now()
         if server_run is None or server_run is not self.server_run:
             return verdicts.Reason.NO_BACKEND
+        if self.start_limit.is_unknown(now):
+            return verdicts.Reason.NO_BUNDLE
         announcement = server_run.announcement
         if (
             announcement.service != request.service
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/requests/server_runs.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/requests/server_runs.py
@@ -68,6 +68,16 @@
         if waiter is not None and not waiter.done():
             waiter.set_result(got_slot)
 
+    def give_up_waiting(self) -> None:
+        """Let all requests that wait be rejected."""
+        for entry in self.queue.remove_all():
+            self._wake(entry, False)
+        self._set_timer(self.clock.now())
+
+    def close(self) -> None:
+        """Close the connections of a run that another one has replaced."""
+        self.connections.close()
+
     def _set_timer(self, now: float) -> None:
         """Ask the queue again at the time that it names."""
         if self.timer is not None:
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
@@ -528,8 +528,9 @@
         timed_out = False
         try:
             if member == self.name:
-                async with asyncio.timeout(forwarded.time_left_s):
-                    reply = await self.local_backend.handle(forwarded)
+                reply = await self.local_backend.handle(
+                    forwarded, forwarded.time_left_s
+                )
             else:
                 # Knows at the deadline whether the request was written.
                 reply = await self.peer_streams.send(
@@ -561,6 +562,7 @@
         verdicts.Reason.NO_OWNER,
         verdicts.Reason.NOT_OWNER,
         verdicts.Reason.NO_BACKEND,
+        verdicts.Reason.NO_BUNDLE,
         verdicts.Reason.NOT_GRANTED,
         verdicts.Reason.DRAINING,
         verdicts.Reason.PEER_UNREACHABLE,
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -503,6 +503,8 @@
         self.local_backend.start_limit.rate = (
             0.0 if rules is None else rules.cold_per_s
         )
+        if self.local_backend.server_run is not None:
+            self.local_backend.server_run.wake_waiters(self.clock.now())
         self.broadcaster.broadcast_soon()
 
     def _build_status(self, sequence: int) -> statuses.Status:
@@ -609,6 +611,10 @@
             lease_left_s=self.reconciler.view.lease.remaining_s(now),
             keys_held=self.held_keys.size(now),
             unheld_s=self.reconciler.unheld_s,
+            work_needed_s=self.held_keys.work_times.longest_needed_s(),
+            grant_waits=self.held_keys.renewals.waits,
+            grant_rejections=self.held_keys.renewals.rejected,
+            runs_cut_off=self.held_keys.renewals.cut_off,
             ranges_moved=self.reconciler.planner.ranges_moved,
             config_version=self.configuration.version,
             config_refused=self.configuration.refused is not None,
--- a/packages/bronzepaddle/src/bronzepaddle/load/cold_servers.py
+++ b/packages/bronzepaddle/src/bronzepaddle/load/cold_servers.py
@@ -37,13 +37,14 @@
     counts as having had as many requests at that time as it tolerates.
 
     ``rate`` is the number of requests per second that a cold server of the
-    service tolerates, 0 if there is no limit.
+    service tolerates, 0 if there is no limit, None as long as the
+    configuration is not known.
     """
 
     def __init__(self, created_at: float, rng: random.Random) -> None:
         self.created_at = created_at
         self.rng = rng
-        self.rate = 0.0
+        self.rate: float | None = None
         self.cold_until = -math.inf
         # Times of the requests in the last window, in order; the times of
         # requests to a warm server count once it is cold.
@@ -55,21 +56,30 @@
         """Record that the server is cold for a time from now; 0 if warm."""
         self.cold_until = now + left_s if left_s > 0 else -math.inf
 
+    def is_unknown(self, now: float) -> bool:
+        """Return whether the server is cold and its limit is not known."""
+        return self.rate is None and now < self.cold_until
+
     def starts_per_s(self, now: float) -> float:
         """Return the limit in requests per second, 0 if there is none."""
-        if self.rate <= 0 or now >= self.cold_until:
+        if not self.rate or now >= self.cold_until:
             return 0.0
         return float(self._max_starts())
 
     def _max_starts(self) -> int:
         """Return the maximum number of requests in a window."""
-        return max(MIN_STARTS, round(self.rate))
+        return max(MIN_STARTS, round(self.rate or 0.0))
 
     def record_start(self, now: float) -> None:
         """Record that a request is sent."""
         self._forget_old(now)
         self.starts.append(now)
 
+    def take_back(self, started_at: float) -> None:
+        """Record that a request counted at a time was not sent after all."""
+        if started_at in self.starts:
+            self.starts.remove(started_at)
+
     def _forget_old(self, now: float) -> None:
         while self.starts and self.starts[0] <= now - WINDOW_S:
             self.starts.popleft()
@@ -118,4 +128,6 @@
 
 def unlimited(now: float) -> StartLimit:
     """Return the limit of a server that is never cold."""
-    return StartLimit(now, random.Random(0))
+    limit = StartLimit(now, random.Random(0))
+    limit.rate = 0.0
+    return limit
--- a/packages/bronzepaddle/src/bronzepaddle/load/server_queue.py
+++ b/packages/bronzepaddle/src/bronzepaddle/load/server_queue.py
@@ -174,7 +174,8 @@
     ``corrects_factor`` if it may against an outdated ``cost_factor``, the
     expected cost relative to the mean of its kind.  ``reported_factor`` is the
     speed that the server reported before it started.  ``run_s`` is the time
-    that it took, 0 until it has been served.
+    that it took, 0 until it has been served.  ``handed_over`` is set by the
+    user of the queue once any part of it may have reached the server.
     """
 
     def __init__(self, profile: RequestProfile, now: float) -> None:
@@ -188,6 +189,9 @@
         self.cost_factor = 1.0
         self.reported_factor: float | None = None
         self.run_s = 0.0
+        self.handed_over = False
+        # When its start was counted by the limit of a cold server.
+        self.start_counted_at = now
 
     @property
     def sort_key(self) -> tuple[Level, float]:
@@ -375,6 +379,7 @@
         ):
             self.start_limit.record_start(now)
             entry = min(self.waiting, key=lambda entry: entry.sort_key)
+            entry.start_counted_at = now
             self.waiting.remove(entry)
             entry.state = State.RUNNING
             entry.started = now
@@ -417,6 +422,19 @@
             entry.state = State.DONE
         return unstarted
 
+    def remove_all(self) -> list[QueueEntry]:
+        """Remove and return all requests that wait."""
+        removed, self.waiting = self.waiting, []
+        for entry in removed:
+            entry.state = State.DONE
+        return removed
+
+    def remove_not_sent(self, entry: QueueEntry, now: float) -> None:
+        """Remove a request that was not sent, whether it has a slot or not."""
+        if entry.state is State.RUNNING:
+            self.start_limit.take_back(entry.start_counted_at)
+        self.remove(entry, now, False)
+
     def next_change_at(self, now: float) -> float | None:
         """Return when a waiting request starts or is given up by itself.
 
--- a/tests/test_sidecar_options.py
+++ b/tests/test_sidecar_options.py
@@ -82,6 +82,8 @@
             "[evacuations]\nwithin-ms = soon\n[retries]",
             "[evacuations] within-ms",
         ),
+        ("[retries]", "[keys]\nwork-hold-ms = 900", "[keys] work-hold-ms"),
+        ("[retries]", "[keys]\nwork-hold-ms = 4000", "[keys] work-hold-ms"),
     ],
 )
 def test_errors_name_the_section_and_the_key(
