Restore the owners of keys when the store has come back from a copy

Cause: a member took the copy for the latest ownership, so that two servers could hold the same keys and tokens were given out again; a peer's read of a revision of the last era could renew a lease; a watch went on from a revision that stands for another state; an older response could pass for a newer one.

Change: StoreVersion (era, revision) in place of a bare revision wherever the sidecar compares or replaces versions; EraTracker drops responses of earlier eras and writes across eras; the ownership object names its era, and one of another era is not in force. keys/restoration waits until an outdated version has stood for the longest lease, and the first live member by name replaces it by the newest ownership that members know, with new tokens. Log lines store-era and ownership-restored, metric bronzepaddle_store_era.

Tests: the cell code and its simulation use versions of the first era.

--- a/bench/logcost.py
+++ b/bench/logcost.py
@@ -38,6 +38,7 @@
     False,
     0,
     0,
+    0,
     0.0,
     {},
     0.0,
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/cell_watcher.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/cell_watcher.py
@@ -8,7 +8,7 @@
 import asyncio
 import typing
 
-from bronzepaddle import cells
+from bronzepaddle import cells, store_versions
 from bronzepaddle_store import store, updates
 
 from bronzepaddle_node import heartbeats, state
@@ -63,7 +63,9 @@
                 continue
             try:
                 stored = await self.object_store.watch(
-                    name, known_cell.version, WATCH_TIMEOUT_S
+                    name,
+                    store_versions.of_first_era(known_cell.version),
+                    WATCH_TIMEOUT_S,
                 )
                 if stored is not None:
                     self._adopt(updates.versioned(stored))
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/configuration.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/configuration.py
@@ -13,7 +13,7 @@
 import random
 import typing
 
-from bronzepaddle import clocks, ids, logs, route_table
+from bronzepaddle import clocks, ids, logs, route_table, store_versions
 from bronzepaddle_peers import rpc_client, statuses, stream_client
 from bronzepaddle_store import store
 
@@ -79,7 +79,7 @@
         self.refused: route_table.InvalidConfigError | None = None
         self.document = b""
         # The version of the object in the store, as last read.
-        self.stored_version = ids.NO_VERSION
+        self.stored_version = store_versions.NO_VERSION
         # When the store last confirmed which version is the newest.
         self.confirmed_at = clock.now()
         self.background_tasks = tasks.Tasks()
@@ -135,7 +135,7 @@
                 continue
             self.confirmed_at = self.clock.now()
             if stored is None:
-                if self.stored_version == ids.NO_VERSION:
+                if self.stored_version == store_versions.NO_VERSION:
                     await self.clock.sleep(RETRY_S)
                 continue
             self.stored_version = stored.version
@@ -147,7 +147,7 @@
 
         Reads it until a version is known, then waits for a newer one.
         """
-        if self.stored_version == ids.NO_VERSION:
+        if self.stored_version == store_versions.NO_VERSION:
             return await self.object_store.get(self.object_name)
         return await self.object_store.watch(
             self.object_name, self.stored_version, self._watch_length_s()
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/keys/ownership_view.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/keys/ownership_view.py
@@ -3,7 +3,9 @@
 The ownership object in the store assigns each range of keys to a member of the
 service.  ``OwnershipView`` holds the latest version that this member knows and
 the lease under which the member may act on it.  Reads and writes of the store
-renew the lease, and so do reads by peers, which their statuses report.
+renew the lease, and so do reads by peers, which their statuses report.  A
+version whose content is of an earlier era of the store is not in force
+(``restoration``): it is not adopted and renews no lease.
 ``reconciler`` reads and writes through it; ``server_grants`` asks it what this
 member owns and until when it may act as the owner.
 """
@@ -14,12 +16,20 @@
 import typing
 
 import msgspec
-from bronzepaddle import cells, clocks, ids, key_ranges, logs, store_leases
+from bronzepaddle import (
+    cells,
+    clocks,
+    ids,
+    key_ranges,
+    logs,
+    store_leases,
+    store_versions,
+)
 from bronzepaddle_peers import rpc_client, statuses
 from bronzepaddle_store import store
 
 from bronzepaddle_node import peer_table, tasks
-from bronzepaddle_node.keys import member_settings
+from bronzepaddle_node.keys import member_settings, restoration
 
 MAX_RECORDED_STATUSES: typing.Final = 64
 """Number of sent statuses whose send time is remembered."""
@@ -42,9 +52,18 @@
 class VersionedOwnership:
     """A version of the ownership object; None if it does not exist yet."""
 
-    version: ids.ObjectVersion
+    version: store_versions.StoreVersion
     ownership: key_ranges.Ownership | None
 
+    def in_force(self) -> bool:
+        """Return whether the content was written in the era of the version.
+
+        In an era after the first, an object that does not exist may have been
+        lost.
+        """
+        era = ids.FIRST_ERA if self.ownership is None else self.ownership.era
+        return era == self.version.era
+
 
 class OwnershipView:
     """The latest known ownership of one service, with this member's lease.
@@ -78,6 +97,7 @@
             settings.name, settings.incarnation
         )
         self.lease = store_leases.StoreLease(settings.times)
+        self.restoration = restoration.Restoration(settings.times)
         self.latest: VersionedOwnership | None = None
         # The ranges that the latest known ownership assigns to this member.
         self.own_ranges: list[key_ranges.Range] = []
@@ -94,9 +114,15 @@
         self.background_tasks = tasks.Tasks()
 
     @property
-    def version(self) -> ids.ObjectVersion:
-        """Return the latest known version of the ownership object."""
-        return ids.NO_VERSION if self.latest is None else self.latest.version
+    def version(self) -> store_versions.StoreVersion:
+        """Return the latest known version of the object that is in force.
+
+        Until the object is restored in a new era, this is the last one known
+        of an earlier era.
+        """
+        if self.latest is None:
+            return store_versions.NO_VERSION
+        return self.latest.version
 
     @property
     def object_name(self) -> str:
@@ -130,15 +156,31 @@
             logs.call_failed(self.object_name, repr(error))
             return
         if stored is None:
-            self._adopt(VersionedOwnership(ids.NO_VERSION, None), sent_at)
+            absent = store_versions.StoreVersion(
+                self.object_store.eras.era, ids.NO_VERSION
+            )
+            self._process_read(VersionedOwnership(absent, None), sent_at)
             return
         try:
             ownership = key_ranges.decode(stored.body)
         except msgspec.DecodeError as error:
             logs.bad_document(self.object_name, str(error))
             return
-        self._adopt(VersionedOwnership(stored.version, ownership), sent_at)
-        self.last_read = statuses.OwnershipRead(stored.version, last_received)
+        self._process_read(
+            VersionedOwnership(stored.version, ownership), sent_at
+        )
+        self.last_read = statuses.OwnershipRead(
+            stored.version.revision, last_received, stored.version.era
+        )
+
+    def _process_read(self, read: VersionedOwnership, sent_at: float) -> None:
+        """Adopt what was read, or record that it has to be restored."""
+        if read.in_force():
+            self._adopt(read, sent_at)
+        elif read.version > self.version:
+            self.restoration.record(
+                read.version, read.ownership, self.clock.now()
+            )
 
     def _last_received(self) -> tuple[statuses.LastReceived, ...]:
         """Return the last status received from each other member."""
@@ -164,7 +206,7 @@
         process, from the time of its last status that the peer had received
         before it read.
         """
-        newer = status.ownership_version > self.version
+        newer = status.store_version > self.version
         if newer and (
             self.settings.name in status.affected_members or is_planner
         ):
@@ -172,32 +214,39 @@
             # member read each version at once, the number of reads would
             # grow quadratically with the fleet.
             self.read_soon()
-        if newer and self.store_unreachable and not self.pulling:
+        pull_newer = (
+            self.store_unreachable or self.restoration.outdated is not None
+        )
+        if newer and pull_newer and not self.pulling:
             self.pulling = True
             self.background_tasks.start(self._pull(status), "pull")
         sent_at = self._own_status_sent_at(status.read)
         if status.read is None or sent_at is None:
             return
         self.peers_read_at[status.sender] = sent_at
-        if status.read.version == self.version:
+        if status.read.store_version == self.version:
             self.lease.renew(sent_at)
 
     async def _pull(self, status: statuses.Status) -> None:
-        """Pull a newer version from a peer while the store is unreachable.
+        """Pull a newer version from a peer.
 
-        A pull does not show which version is in the store now, so it renews
-        no lease.  But later reads of that version by peers do, and keys that
-        were reassigned are released at once.
+        Done while the store is unreachable, or while it has lost the latest
+        version and members collect what they know of it.  A pull does not
+        show which version is in the store now, so it renews no lease.  But
+        later reads of that version by peers do, and keys that were reassigned
+        are released at once.
         """
         request = statuses.OwnershipRequest(
-            self.settings.service, self.version
+            self.settings.service, self.version.revision, self.version.era
         )
         try:
             reply = await self.pull_ownership(status.address, request)
             if reply.document:
                 ownership = key_ranges.decode(reply.document)
-                self._adopt(VersionedOwnership(reply.version, ownership), None)
-                logs.ownership_pulled(status.sender, reply.version)
+                pulled = VersionedOwnership(reply.store_version, ownership)
+                if pulled.in_force():
+                    self._adopt(pulled, None)
+                    logs.ownership_pulled(status.sender, pulled.version)
         except rpc_client.CONNECTION_ERRORS as error:
             # The next status that names a newer version triggers a retry.
             logs.call_failed(f"ownership of {status.sender}", repr(error))
@@ -218,11 +267,16 @@
             latest is None
             or latest.ownership is None
             or request.service != self.settings.service
-            or latest.version <= request.newer_than
+            or latest.version <= request.store_version
         ):
-            return statuses.OwnershipReply(self.version, b"")
-        document = key_ranges.encode(latest.ownership)
-        return statuses.OwnershipReply(latest.version, document)
+            return statuses.OwnershipReply(
+                self.version.revision, b"", self.version.era
+            )
+        return statuses.OwnershipReply(
+            latest.version.revision,
+            key_ranges.encode(latest.ownership),
+            latest.version.era,
+        )
 
     def affected_members(self) -> tuple[ids.MemberId, ...]:
         """Return the members whose keys this process changed recently."""
@@ -257,6 +311,7 @@
         """
         if candidate.version < self.version:
             return
+        self.restoration.record_in_force(candidate.version)
         changed = candidate.version != self.version
         self.latest = candidate
         if sent_at is not None:
@@ -277,28 +332,49 @@
         """Write the next version, if the latest known one is still current.
 
         Does not try while reads fail: each attempt would delay the renewal
-        of grants by the timeout of a call.
+        of grants by the timeout of a call.  Nor while the object has to be
+        restored: the latest known version is not in the store.
         """
-        if self.latest is None or self.store_unreachable:
+        if (
+            self.latest is None
+            or self.store_unreachable
+            or self.restoration.outdated is not None
+        ):
             return False
-        replaced_version = self.latest.version
+        return await self.replace(self.latest.version, after)
+
+    async def replace(
+        self,
+        replaced_version: store_versions.StoreVersion,
+        after: key_ranges.Ownership,
+    ) -> bool:
+        """Write the next version in place of a given one, if still current."""
         # Recorded before the write, because it may take effect even if its
         # response is lost.
         affected = key_ranges.members_with_changed_ranges(
-            self.latest.ownership, after
+            None if self.latest is None else self.latest.ownership, after
         )
         self.affected_at.update(dict.fromkeys(affected, self.clock.now()))
         sent_at = self.clock.now()
         try:
             version = await self.object_store.put(
-                self.object_name, key_ranges.encode(after), replaced_version
+                self.object_name,
+                key_ranges.encode(after),
+                store_versions.NO_VERSION
+                if replaced_version.revision == ids.NO_VERSION
+                else replaced_version,
             )
         except store.StoreError as error:
             # The next read shows whether the write took effect.
             self.last_read_at = float("-inf")
             logs.write_failed(self.object_name, repr(error))
             return False
-        self._adopt(VersionedOwnership(version, after), sent_at)
+        written = VersionedOwnership(version, after)
+        if not written.in_force():
+            # Created in a later era than it was meant for.
+            self.read_soon()
+            return False
+        self._adopt(written, sent_at)
         return True
 
     def owns(self, key_range: key_ranges.Range, run: str) -> bool:
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/planning.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/planning.py
@@ -107,6 +107,15 @@
             list(self._member_loads(now, readers, rebalance)),
         )
 
+    def rank(self, now: float) -> int:
+        """Return the number of live members before this one by name."""
+        return sum(
+            peer.status.sender < self.name
+            and not peer.status.leaving
+            and self.peer_table.is_alive(peer, now)
+            for peer in self.peer_table.of_service(self.service)
+        )
+
     def _live_members(self, now: float) -> set[ids.MemberId]:
         """Return the live members of the service."""
         return {
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/reconciler.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/reconciler.py
@@ -6,14 +6,21 @@
 periodically reads the object (``ownership_view``), brings the grants of the
 server in line with it (``server_grants``), records in the object which keys
 were released, and, in the first member of the service by name, writes the next
-assignment, which ``planning`` computes.
+assignment, which ``planning`` computes.  When the store has come back from a
+copy, it writes the newest ownership that the members know (``restoration``).
 """
 
 import asyncio
 import collections.abc
 import typing
 
-from bronzepaddle import clocks, key_ranges, logs, route_table
+from bronzepaddle import (
+    clocks,
+    key_ranges,
+    logs,
+    restored_ownership,
+    route_table,
+)
 from bronzepaddle_backend import key_grants, key_reports, server_tracker
 from bronzepaddle_peers import statuses
 from bronzepaddle_store import store
@@ -111,6 +118,7 @@
         if self.view.read_is_due():
             await self.view.read_store()
         self._log_lease_change()
+        await self._restore()
         if self.view.latest is None:
             return
         ownership = self.view.latest.ownership
@@ -196,6 +204,31 @@
         if after is not None and await self.view.write(after):
             self.planner.record_written(after, now)
 
+    async def _restore(self) -> None:
+        """Write the newest known ownership if a new store era has lost it.
+
+        Only once no lease can be in force any more (``restoration``).
+        """
+        now = self.clock.now()
+        outdated = self.view.restoration.due(now, self.planner.rank(now))
+        if outdated is None or self.view.store_unreachable:
+            return
+        latest = self.view.latest
+        known = None if latest is None else latest.ownership
+        newest = restored_ownership.newest((known, outdated.ownership))
+        if newest is None:
+            newest = self.planner.next_ownership(
+                None, now, self.view.peers_read_at, self.lease_since
+            )
+        after = newest and restored_ownership.restore(newest, outdated.version)
+        if newest is None or after is None:
+            return
+        written = await self.view.replace(outdated.version, after)
+        if written:
+            logs.ownership_restored(
+                self.settings.name, after, newest.next_token, newest is known
+            )
+
     async def stop(self) -> None:
         """Cancel the running pulls and releases."""
         await self.view.stop()
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -510,13 +510,14 @@
             service_s=self.local_backend.mean_service_s(),
             warmup_left_s=warmup_left_s,
             table_version=self.configuration.version,
-            ownership_version=self.reconciler.view.version,
+            ownership_version=self.reconciler.view.version.revision,
             held=self.held_keys.status_ranges(now),
             request_rate=self.local_backend.key_load.rate(),
             hot_keys=self.local_backend.key_load.hottest(),
             read=self.reconciler.view.last_read,
             suspects=self.crash_detector.recent_changes(),
             affected_members=self.reconciler.view.affected_members(),
+            store_era=self.reconciler.view.version.era,
         )
 
     def _runtime_snapshot(self) -> runtime_stats.Snapshot:
@@ -556,7 +557,8 @@
             ranges_moved=self.reconciler.planner.ranges_moved,
             config_version=self.configuration.version,
             config_refused=self.configuration.refused is not None,
-            ownership_version=self.reconciler.view.version,
+            ownership_version=self.reconciler.view.version.revision,
+            store_era=self.store.eras.era,
             peers_alive=len(status_ages_s),
             oldest_status_s=max(status_ages_s, default=0.0),
             lines_dropped=dropped,
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar_metrics.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar_metrics.py
@@ -66,6 +66,7 @@
     config_version: int
     config_refused: bool
     ownership_version: int
+    store_era: int
     peers_alive: int
     oldest_status_s: float
     lines_dropped: collections.abc.Mapping[str, int]
@@ -224,6 +225,7 @@
         "",
         _observe_field("ownership_version"),
     ),
+    ("bronzepaddle.store.era", "", _observe_field("store_era")),
     ("bronzepaddle.peers.alive", "", _observe_field("peers_alive")),
     ("bronzepaddle.status.oldest", "s", _observe_field("oldest_status_s")),
     ("bronzepaddle.loop.lag", "s", _observe_field("loop_lag_s")),
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/statuses.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/statuses.py
@@ -16,7 +16,7 @@
 
 import msgspec
 import xxhash
-from bronzepaddle import cells, ids
+from bronzepaddle import cells, ids, store_versions
 from bronzepaddle.load import key_load
 
 
@@ -61,11 +61,18 @@
     A member that finds its own status in ``heard`` can conclude that the
     object had ``version`` after it sent that status, and may renew its lease
     from the time of sending.  In this way members that can't reach the store
-    keep their leases through the reads of members that can.
+    keep their leases through the reads of members that can.  ``era`` is the
+    era of the store in which it had that version.
     """
 
     version: ids.ObjectVersion
     heard: tuple[LastReceived, ...]
+    era: ids.StoreEra = ids.FIRST_ERA
+
+    @property
+    def store_version(self) -> store_versions.StoreVersion:
+        """Return the version of the object, with its era."""
+        return store_versions.StoreVersion(self.era, self.version)
 
 
 class Evacuations(msgspec.Struct, frozen=True, array_like=True):
@@ -158,9 +165,16 @@
     interval_s: float = DEFAULT_INTERVAL_S
     backlog_s: float = 0.0
     starts_per_s: float = 0.0
-    store_era: int = 0
+    store_era: ids.StoreEra = ids.FIRST_ERA
     evacuations: Evacuations | None = None
 
+    @property
+    def store_version(self) -> store_versions.StoreVersion:
+        """Return the version of the ownership object, with its era."""
+        return store_versions.StoreVersion(
+            self.store_era, self.ownership_version
+        )
+
 
 NO_SERVER_RUN: typing.Final = ""
 """Value of ``Status.run`` while no backend server has announced itself."""
@@ -184,6 +198,12 @@
 
     service: ids.ServiceName
     newer_than: ids.ObjectVersion
+    era: ids.StoreEra = ids.FIRST_ERA
+
+    @property
+    def store_version(self) -> store_versions.StoreVersion:
+        """Return the version that the sender has, with its era."""
+        return store_versions.StoreVersion(self.era, self.newer_than)
 
 
 class OwnershipReply(msgspec.Struct, frozen=True):
@@ -191,3 +211,9 @@
 
     version: ids.ObjectVersion
     document: bytes
+    era: ids.StoreEra = ids.FIRST_ERA
+
+    @property
+    def store_version(self) -> store_versions.StoreVersion:
+        """Return the version of the document, with its era."""
+        return store_versions.StoreVersion(self.era, self.version)
--- a/packages/bronzepaddle-store/src/bronzepaddle_store/http_store.py
+++ b/packages/bronzepaddle-store/src/bronzepaddle_store/http_store.py
@@ -11,9 +11,9 @@
 
 import msgspec
 import urllib3
-from bronzepaddle import documents, ids
+from bronzepaddle import documents, ids, store_versions
 
-from bronzepaddle_store import http_calls, store
+from bronzepaddle_store import eras, http_calls, store
 
 
 class ListedObject(msgspec.Struct, frozen=True):
@@ -34,6 +34,8 @@
     ) -> None:
         self.url = url.rstrip("/")
         self.calls = http_calls.HttpCalls(timeout_s, budget)
+        # This platform's store has no eras.
+        self.eras = eras.EraTracker()
 
     async def get(self, name: str) -> store.StoredObject | None:
         """Return the latest version of an object; see ``store.Store``."""
@@ -41,8 +43,8 @@
         return _to_stored_object(response)
 
     async def put(
-        self, name: str, body: bytes, replaces: ids.ObjectVersion
-    ) -> ids.ObjectVersion:
+        self, name: str, body: bytes, replaces: store_versions.StoreVersion
+    ) -> store_versions.StoreVersion:
         """Write an object and return its version; see ``store.Store``."""
         if len(body) > store.MAX_OBJECT_BYTES:
             raise store.StoreUnavailableError(
@@ -51,16 +53,16 @@
         match replaces:
             case store.ANY_VERSION:
                 headers = {"If-Match": "*"}
-            case ids.NO_VERSION:
+            case store_versions.NO_VERSION:
                 headers = {"If-None-Match": "*"}
             case _:
-                headers = {"If-Match": f'"{replaces}"'}
+                headers = {"If-Match": f'"{replaces.revision}"'}
         response = await self.calls.call(
             "PUT", self._object_url(name), body=body, headers=headers
         )
         if response.status == 412:
             raise store.ConflictError(
-                f"{name}: version {replaces} is not the latest"
+                f"{name}: version {replaces.revision} is not the latest"
             )
         if response.status >= 500:
             # The platform may have failed after the write took effect.
@@ -84,17 +86,21 @@
             raise store.StoreUnavailableError(f"{folder}: {error}") from error
         return {
             name.removeprefix(folder + "/"): store.StoredObject(
-                ids.ObjectVersion(listed.version), listed.body
+                store_versions.of_first_era(ids.ObjectVersion(listed.version)),
+                listed.body,
             )
             for name, listed in listing.items()
         }
 
     async def watch(
-        self, name: str, newer_than: ids.ObjectVersion, timeout_s: float
+        self,
+        name: str,
+        newer_than: store_versions.StoreVersion,
+        timeout_s: float,
     ) -> store.StoredObject | None:
         """Wait for a newer version of an object; see ``store.Store``."""
         query = urllib.parse.urlencode(
-            {"newer-than": newer_than, "timeout-s": timeout_s}
+            {"newer-than": newer_than.revision, "timeout-s": timeout_s}
         )
         response = await self.calls.call(
             "GET",
@@ -125,9 +131,11 @@
     return store.StoredObject(_parse_version(response), response.data)
 
 
-def _parse_version(response: urllib3.BaseHTTPResponse) -> ids.ObjectVersion:
+def _parse_version(
+    response: urllib3.BaseHTTPResponse,
+) -> store_versions.StoreVersion:
     """Return the version in a response; raises ``StoreUnavailableError``."""
     tag = response.headers.get("ETag", "").strip('"')
     if not tag.isdecimal():
         raise store.StoreUnavailableError(f"no version in ETag {tag!r}")
-    return ids.ObjectVersion(int(tag))
+    return store_versions.of_first_era(ids.ObjectVersion(int(tag)))
--- a/packages/bronzepaddle-store/src/bronzepaddle_store/store.py
+++ b/packages/bronzepaddle-store/src/bronzepaddle_store/store.py
@@ -5,19 +5,24 @@
 the records of which process owns which keys.
 
 An object has a name, a body of at most one megabyte and a version that each
-write increases.  A write states the version that it replaces.
+write increases.  A write states the version that it replaces.  The store may
+come back from a copy that lacks its last writes; a version therefore names
+the era in which it was assigned (``bronzepaddle.store_versions``).
 """
 
 import dataclasses
 import typing
 
-from bronzepaddle import ids
+from bronzepaddle import ids, store_versions
+
+if typing.TYPE_CHECKING:
+    from bronzepaddle_store import eras
 
 MAX_OBJECT_BYTES: typing.Final = 1 << 20
 """Size of the largest body that the platform stores."""
 
 
-ANY_VERSION: typing.Final = ids.ObjectVersion(-1)
+ANY_VERSION: typing.Final = store_versions.of_first_era(ids.ObjectVersion(-1))
 """Makes a write unconditional: it replaces any version or creates one."""
 
 
@@ -25,7 +30,7 @@
 class StoredObject:
     """One version of an object."""
 
-    version: ids.ObjectVersion
+    version: store_versions.StoreVersion
     body: bytes
 
 
@@ -50,7 +55,13 @@
 
 
 class Store(typing.Protocol):
-    """Versioned objects with conditional writes and watches."""
+    """Versioned objects with conditional writes and watches.
+
+    ``eras`` tracks the era of the store, which never falls.  A call whose
+    answer is of an earlier era fails as one without an answer does.
+    """
+
+    eras: "eras.EraTracker"
 
     async def get(self, name: str) -> StoredObject | None:
         """Return the latest version of an object; None if it doesn't exist.
@@ -60,11 +71,12 @@
         ...
 
     async def put(
-        self, name: str, body: bytes, replaces: ids.ObjectVersion
-    ) -> ids.ObjectVersion:
+        self, name: str, body: bytes, replaces: store_versions.StoreVersion
+    ) -> store_versions.StoreVersion:
         """Write an object if its version is still ``replaces``.
 
-        ``ids.NO_VERSION`` creates an object, ``ANY_VERSION`` overwrites.
+        ``store_versions.NO_VERSION`` creates an object, ``ANY_VERSION``
+        overwrites one.
         Returns the new version.  Raises ``ConflictError``,
         ``StoreUnavailableError`` or ``UnknownOutcomeError``.
         """
@@ -78,7 +90,10 @@
         ...
 
     async def watch(
-        self, name: str, newer_than: ids.ObjectVersion, timeout_s: float
+        self,
+        name: str,
+        newer_than: store_versions.StoreVersion,
+        timeout_s: float,
     ) -> StoredObject | None:
         """Wait for a version newer than ``newer_than`` and return it.
 
--- a/packages/bronzepaddle-store/src/bronzepaddle_store/updates.py
+++ b/packages/bronzepaddle-store/src/bronzepaddle_store/updates.py
@@ -12,7 +12,7 @@
 import typing
 
 import msgspec
-from bronzepaddle import cells, clocks, ids, logs
+from bronzepaddle import cells, clocks, ids, logs, store_versions
 
 from bronzepaddle_store import store
 
@@ -83,9 +83,11 @@
     try:
         cell = cells.decode(stored.body)
     except msgspec.DecodeError as error:
-        logs.bad_document(f"cell of version {stored.version}", str(error))
+        logs.bad_document(
+            f"cell of version {stored.version.revision}", str(error)
+        )
         raise store.StoreUnavailableError(f"no cell: {error}") from error
-    return cells.VersionedCell(stored.version, cell)
+    return cells.VersionedCell(stored.version.revision, cell)
 
 
 class UnresolvedWrites:
@@ -175,11 +177,13 @@
     replaces = ids.NO_VERSION if latest is None else latest.version
     try:
         version = await object_store.put(
-            object_name(cell_id), cells.encode(stamped), replaces
+            object_name(cell_id),
+            cells.encode(stamped),
+            store_versions.of_first_era(replaces),
         )
     except store.UnknownOutcomeError:
         unresolved.add(nonce, replaces)
         return None
     except store.StoreError:
         return None
-    return cells.VersionedCell(version, stamped)
+    return cells.VersionedCell(version.revision, stamped)
--- a/packages/bronzepaddle/src/bronzepaddle/ids.py
+++ b/packages/bronzepaddle/src/bronzepaddle/ids.py
@@ -32,8 +32,12 @@
 """Version of a cell's set of members."""
 
 ObjectVersion = typing.NewType("ObjectVersion", int)
-"""Version of an object in the platform's store, which assigns a new one at
-each write."""
+"""Revision of an object in the platform's store, which assigns a new one at
+each write.  Where the store has eras, ``store_versions.StoreVersion`` adds
+the era in which it was assigned."""
+
+StoreEra = typing.NewType("StoreEra", int)
+"""Number of times that the store has come back from a copy."""
 
 BundleVersion = typing.NewType("BundleVersion", int)
 """Version of a configuration bundle or of a route table."""
@@ -57,6 +61,9 @@
 NO_VERSION: typing.Final = ObjectVersion(0)
 """Version of an object that does not exist."""
 
+FIRST_ERA: typing.Final = StoreEra(0)
+"""Era of a store that reports none."""
+
 
 def new_id() -> str:
     """Return a random, globally unique ID."""
--- a/packages/bronzepaddle/src/bronzepaddle/key_ranges.py
+++ b/packages/bronzepaddle/src/bronzepaddle/key_ranges.py
@@ -53,12 +53,17 @@
         return self.last - self.first + 1
 
 
-class Ownership(msgspec.Struct, frozen=True):
-    """All key ranges of one service, in order, without gaps or overlaps."""
+class Ownership(msgspec.Struct, frozen=True, omit_defaults=True):
+    """All key ranges of one service, in order, without gaps or overlaps.
+
+    ``era`` is that of the store in which it was written.  In a later era it
+    says nothing until it has been restored (``restored_ownership``).
+    """
 
     service: ids.ServiceName
     next_token: ids.Token
     ranges: tuple[Range, ...]
+    era: ids.StoreEra = ids.FIRST_ERA
 
     def owned_by(self, member: ids.MemberId) -> list[Range]:
         """Return the ranges that a member owns."""
@@ -177,7 +182,9 @@
     if ranges == list(ownership.ranges):
         return None
     next_token = ids.Token(ownership.next_token + len(tokens))
-    return Ownership(ownership.service, next_token, _merge_adjacent(ranges))
+    return msgspec.structs.replace(
+        ownership, next_token=next_token, ranges=merge_adjacent(ranges)
+    )
 
 
 def _split(
@@ -224,7 +231,7 @@
     )
     if ranges == ownership.ranges:
         return None
-    return msgspec.structs.replace(ownership, ranges=_merge_adjacent(ranges))
+    return msgspec.structs.replace(ownership, ranges=merge_adjacent(ranges))
 
 
 def _is_unreleased(
@@ -254,12 +261,14 @@
     )
     if ranges == ownership.ranges:
         return None
-    return Ownership(
-        ownership.service, ids.Token(token + 1), _merge_adjacent(ranges)
+    return msgspec.structs.replace(
+        ownership,
+        next_token=ids.Token(token + 1),
+        ranges=merge_adjacent(ranges),
     )
 
 
-def _merge_adjacent(
+def merge_adjacent(
     ranges: collections.abc.Iterable[Range],
 ) -> tuple[Range, ...]:
     """Merge adjacent ranges that differ only in their keys."""
--- a/packages/bronzepaddle/src/bronzepaddle/logs.py
+++ b/packages/bronzepaddle/src/bronzepaddle/logs.py
@@ -17,6 +17,7 @@
     ids,
     key_ranges,
     route_table,
+    store_versions,
     verdicts,
 )
 
@@ -357,22 +358,56 @@
     )
 
 
-def lease(held: bool, left_s: float, version: ids.ObjectVersion) -> None:
+def store_era(era: ids.StoreEra, previous: ids.StoreEra) -> None:
+    """Log that the store has come back from a copy, in a new era."""
+    eliot.log_message(message_type="store-era", era=era, previous=previous)
+
+
+def lease(
+    held: bool, left_s: float, version: store_versions.StoreVersion
+) -> None:
     """Log that the lease of this process has started or expired."""
     eliot.log_message(
         message_type="lease",
         held=held,
         left_s=round(left_s, 3),
-        ownership_version=version,
+        ownership_version=version.revision,
+        era=version.era,
     )
 
 
-def ownership_pulled(member: ids.MemberId, version: ids.ObjectVersion) -> None:
+def ownership_pulled(
+    member: ids.MemberId, version: store_versions.StoreVersion
+) -> None:
     """Log a version of the ownership that was pulled from a peer."""
     eliot.log_message(
         message_type="ownership-pulled",
         member=member,
-        ownership_version=version,
+        ownership_version=version.revision,
+        era=version.era,
+    )
+
+
+def ownership_restored(
+    member: ids.MemberId,
+    ownership: key_ranges.Ownership,
+    lost_next_token: ids.Token,
+    from_memory: bool,
+) -> None:
+    """Log the ownership that a member wrote after a new store era.
+
+    ``lost_next_token`` is the next token of the ownership that it rests on.
+    ``from_memory``: the member knew that one; else the store's copy had it.
+    """
+    eliot.log_message(
+        message_type="ownership-restored",
+        member=member,
+        service=ownership.service,
+        era=ownership.era,
+        ranges=len(ownership.ranges),
+        next_token=ownership.next_token,
+        lost_next_token=lost_next_token,
+        from_memory=from_memory,
     )
 
 
--- a/tests/support/broken.py
+++ b/tests/support/broken.py
@@ -9,7 +9,14 @@
 import typing
 import unittest.mock
 
-from bronzepaddle import cells, clocks, ids, quorum_leases, slot_assignment
+from bronzepaddle import (
+    cells,
+    clocks,
+    ids,
+    quorum_leases,
+    slot_assignment,
+    store_versions,
+)
 from bronzepaddle_node import heartbeats, quorum, takeover
 from bronzepaddle_store import store, updates
 
@@ -124,13 +131,13 @@
             version = await object_store.put(
                 updates.object_name(name),
                 cells.encode(changed),
-                latest.version,
+                store_versions.of_first_era(latest.version),
             )
         except store.ConflictError:
             continue
         except store.StoreError as error:
             return updates.Unavailable(True, str(error))
-        return updates.Written(cells.VersionedCell(version, changed))
+        return updates.Written(cells.VersionedCell(version.revision, changed))
 
 
 class _UncheckedTakeover(takeover.Takeover):
--- a/tests/support/broken_reconcilers.py
+++ b/tests/support/broken_reconcilers.py
@@ -164,7 +164,7 @@
         self: reconciler.OwnershipReconciler, status: statuses.Status
     ) -> None:
         original(self, status)
-        if status.read and status.read.version == self.view.version:
+        if status.read and status.read.store_version == self.view.version:
             self.view.lease.renew(self.clock.now())
 
     original = reconciler.OwnershipReconciler.on_status
--- a/tests/support/fake_servers.py
+++ b/tests/support/fake_servers.py
@@ -73,6 +73,10 @@
         self.release(grant.first, grant.last)
         self.held.append(accepted)
         self.accepted.append(accepted)
+        if self.fleet.loop.time() < valid_until:
+            self.fleet.check_token(
+                self.run, grant.first, grant.last, grant.token
+            )
         self.fleet.check_invariants()
         return True
 
--- a/tests/support/simulated_cell.py
+++ b/tests/support/simulated_cell.py
@@ -12,11 +12,18 @@
 import random
 import typing
 
-from bronzepaddle import bundles, cells, ids, options, quorum_leases
+from bronzepaddle import (
+    bundles,
+    cells,
+    ids,
+    options,
+    quorum_leases,
+    store_versions,
+)
 from bronzepaddle_backend import announcements
 from bronzepaddle_node import crash_isolation, membership, owner, slots, state
 from bronzepaddle_peers import messages, rpc
-from bronzepaddle_store import store, updates
+from bronzepaddle_store import eras, store, updates
 
 from support import simulated_time
 
@@ -61,13 +68,15 @@
 
     ``call_delay_s`` delays each call.  With ``lose_answers`` a write takes
     effect, but its result is lost.  With ``write_delay_s`` the result is lost
-    too, and the write takes effect after this time.
+    too, and the write takes effect after this time.  ``answer_delay_s``
+    delays the answers to reads.
     """
 
     down: bool = False
     call_delay_s: float = 0.0
     lose_answers: bool = False
     write_delay_s: float = 0.0
+    answer_delay_s: float = 0.0
 
 
 class FakeStoreServer:
@@ -79,7 +88,10 @@
     """
 
     def __init__(self) -> None:
+        self.era = ids.FIRST_ERA
         self.objects: dict[str, store.StoredObject] = {}
+        # The objects after each write, with its time.
+        self.history: list[tuple[float, dict[str, store.StoredObject]]] = []
         self.faults = StoreFaults()
         self.changed = asyncio.Event()
         self.cut_off: set[str] = set()
@@ -91,21 +103,44 @@
         stored = self.objects.get(updates.object_name(CELL))
         return None if stored is None else cells.decode(stored.body)
 
-    def write(self, name: str, body: bytes, replaces: int) -> int:
+    def write(
+        self, name: str, body: bytes, replaces: int
+    ) -> ids.ObjectVersion:
         """Write an object; return its new version.
 
         Raises ``ConflictError`` if ``replaces`` is not its current version.
         """
         stored = self.objects.get(name)
-        if (0 if stored is None else stored.version) != replaces:
+        if (0 if stored is None else stored.version.revision) != replaces:
             raise store.ConflictError(name)
         version = ids.ObjectVersion(replaces + 1)
-        self.objects[name] = store.StoredObject(version, body)
+        self.objects[name] = store.StoredObject(
+            store_versions.StoreVersion(self.era, version), body
+        )
+        now = asyncio.get_running_loop().time()
+        self.history.append((now, dict(self.objects)))
         self.writes += 1
         self.changed.set()
         self.changed = asyncio.Event()
         return version
 
+    def restore(self, age_s: float) -> None:
+        """Come back from a copy of the given age, in the next era."""
+        now = asyncio.get_running_loop().time()
+        self.history = [
+            (at, objects) for at, objects in self.history if at <= now - age_s
+        ]
+        self.era = ids.StoreEra(self.era + 1)
+        copied = self.history[-1][1] if self.history else {}
+        self.objects = {
+            name: store.StoredObject(
+                dataclasses.replace(stored.version, era=self.era), stored.body
+            )
+            for name, stored in copied.items()
+        }
+        self.changed.set()
+        self.changed = asyncio.Event()
+
 
 class FakeStoreClient:
     """Implements ``store.Store`` for one member; pauses while it is frozen."""
@@ -119,6 +154,7 @@
         self.server = server
         self.name = name
         self.clock = clock
+        self.eras = eras.EraTracker()
 
     async def _connect(self) -> None:
         """Reach the store; raises ``StoreUnavailableError``."""
@@ -128,32 +164,54 @@
         if self.server.faults.down or self.name in self.server.cut_off:
             raise store.StoreUnavailableError("down")
 
+    async def _answer(self, era: ids.StoreEra, delay_s: float) -> None:
+        """Wait for an answer that the store gave in an era, and record it.
+
+        Raises ``StoreUnavailableError`` if the answer is of an earlier era.
+        """
+        if delay_s:
+            await asyncio.sleep(delay_s)
+            await self.clock.running.wait()
+        self.eras.record(era)
+
     async def get(self, name: str) -> store.StoredObject | None:
         """Return an object, or None if it does not exist."""
         await self._connect()
-        return self.server.objects.get(name)
+        era, stored = self.server.era, self.server.objects.get(name)
+        await self._answer(era, self.server.faults.answer_delay_s)
+        return stored
 
     async def list(self, folder: str) -> dict[str, store.StoredObject]:
         """Raise ``NotImplementedError``: no simulated member lists objects."""
         raise NotImplementedError(folder)
 
     async def put(
-        self, name: str, body: bytes, replaces: ids.ObjectVersion
-    ) -> ids.ObjectVersion:
+        self, name: str, body: bytes, replaces: store_versions.StoreVersion
+    ) -> store_versions.StoreVersion:
         """Write an object, subject to the current faults."""
+        self.eras.check_replaced(name, replaces)
         await self._connect()
         faults = self.server.faults
         if faults.write_delay_s:
             asyncio.get_running_loop().call_later(
-                faults.write_delay_s, self._write_late, name, body, replaces
+                faults.write_delay_s,
+                self._write_late,
+                name,
+                body,
+                replaces.revision,
             )
             raise store.UnknownOutcomeError("lost")
-        version = self.server.write(name, body, replaces)
+        version = store_versions.StoreVersion(
+            self.server.era, self.server.write(name, body, replaces.revision)
+        )
         if faults.lose_answers:
             raise store.UnknownOutcomeError("lost")
-        await asyncio.sleep(0.002 + faults.call_delay_s)
-        await self.clock.running.wait()
-        return ids.ObjectVersion(version)
+        try:
+            await self._answer(version.era, 0.002 + faults.call_delay_s)
+        except store.StoreUnavailableError as error:
+            raise store.UnknownOutcomeError(str(error)) from error
+        self.eras.check_written(name, replaces, version)
+        return version
 
     def _write_late(self, name: str, body: bytes, replaces: int) -> None:
         if self.server.faults.down:
@@ -164,7 +222,10 @@
             return
 
     async def watch(
-        self, name: str, newer_than: ids.ObjectVersion, timeout_s: float
+        self,
+        name: str,
+        newer_than: store_versions.StoreVersion,
+        timeout_s: float,
     ) -> store.StoredObject | None:
         """Return the next newer version, or None after ``timeout_s``."""
         await self._connect()
@@ -520,9 +581,9 @@
     def _check_tokens(self) -> None:
         """Compare the tokens of a new version with the highest ones seen."""
         stored = self.store_server.objects.get(updates.object_name(CELL))
-        if stored is None or stored.version == self.seen_version:
+        if stored is None or stored.version.revision == self.seen_version:
             return
-        self.seen_version = stored.version
+        self.seen_version = stored.version.revision
         for service, grants in cells.decode(stored.body).services.items():
             for slot, grant in enumerate(grants):
                 if grant is None:
--- a/tests/support/simulated_fleet.py
+++ b/tests/support/simulated_fleet.py
@@ -12,6 +12,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import dataclasses
 import itertools
 import random
 import typing
@@ -266,10 +267,11 @@
             service_s=0.0,
             warmup_left_s=0.0,
             table_version=ids.BundleVersion(1),
-            ownership_version=self.reconciler.view.version,
+            ownership_version=self.reconciler.view.version.revision,
             held=self.held.status_ranges(now),
             read=self.reconciler.view.last_read,
             affected_members=self.reconciler.view.affected_members(),
+            store_era=self.reconciler.view.version.era,
         )
 
     def receive_status(self, status: statuses.Status) -> None:
@@ -285,6 +287,16 @@
         await self.reconciler.stop()
 
 
+@dataclasses.dataclass(frozen=True)
+class AcceptedToken:
+    """A token with which a run of a server accepted keys."""
+
+    run: str
+    first: int
+    last: int
+    token: int
+
+
 class SimulatedFleet:
     """A fleet of members, their servers, the store and the network.
 
@@ -323,6 +335,8 @@
         self.send_delays_s: dict[str, float] = {}
         self.waiting_to_send: set[str] = set()
         self.violations: list[str] = []
+        # The distinct grants that servers have accepted.
+        self.accepted: set[AcceptedToken] = set()
         self.last_start_ms = 1000
 
     def start_server(self, name: str) -> None:
@@ -391,6 +405,19 @@
             if after[0] <= before[1] and after[2] != before[2]:
                 self.violations.append(f"{before} and {after} at {now}")
 
+    def check_token(self, run: str, first: int, last: int, token: int) -> None:
+        """Record a violation if another run had keys with as high a token."""
+        for earlier in self.accepted:
+            if earlier.run == run or not key_ranges.overlap(
+                first, last, earlier.first, earlier.last
+            ):
+                continue
+            if token <= earlier.token:
+                self.violations.append(
+                    f"{run} got token {token} after {earlier}"
+                )
+        self.accepted.add(AcceptedToken(run, first, last, token))
+
     def all_keys_served(self) -> bool:
         """Return whether each key is held by a process that may serve it."""
         now = self.loop.time()
@@ -446,6 +473,20 @@
     "orders-well",
 )
 
+ERA_ACTIONS: typing.Final = (
+    *_ACTIONS,
+    "store-restored",
+    "store-restored",
+    "store-restored",
+    "store-restored",
+    "store-late",
+    "answers-late",
+)
+"""Actions where the store may come back from a copy."""
+
+COPY_AGES_S: typing.Final = (0.1, 0.5, 1.5, 4.0, 9.0, 20.0)
+"""Ages of the copies that the store comes back from."""
+
 
 async def apply_event(fleet: SimulatedFleet, action: str, member: str) -> None:
     """Apply an event to a member, unless the member's state rules it out."""
@@ -499,6 +540,12 @@
             )
         case "store-well":
             fleet.store_server.faults = simulated_cell.StoreFaults()
+        case "store-restored":
+            fleet.store_server.restore(fleet.rng.choice(COPY_AGES_S))
+        case "answers-late":
+            fleet.store_server.faults = simulated_cell.StoreFaults(
+                answer_delay_s=1.0
+            )
         case "orders-late":
             fleet.commands_late = True
         case "orders-well":
@@ -543,10 +590,14 @@
     await fleet.wait_until_served(SETTLE_S)
 
 
-def random_scenario(rng: random.Random, length: int) -> Scenario:
+def random_scenario(
+    rng: random.Random,
+    length: int,
+    actions: collections.abc.Sequence[str] = _ACTIONS,
+) -> Scenario:
     """Return a scenario of random events, followed by a recovery."""
     events = [
-        (rng.choice(PAUSES_S), rng.choice(_ACTIONS), rng.choice(MEMBERS))
+        (rng.choice(PAUSES_S), rng.choice(actions), rng.choice(MEMBERS))
         for _ in range(length)
     ]
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -10,11 +10,11 @@
 import typing
 
 import pytest
-from bronzepaddle import cells, ids, route_table
+from bronzepaddle import cells, ids, route_table, store_versions
 from bronzepaddle_node import configuration
 from bronzepaddle_peers import statuses, stream_client
-from bronzepaddle_store import store
-from support import sample_status, simulated_time
+from bronzepaddle_store import eras, store
+from support import broken_eras, sample_status, simulated_time
 
 MAX_CHANGE_S: typing.Final = 2.0
 """Upper limit of the time from a confirmed change until it is in effect."""
@@ -30,6 +30,8 @@
     """A store of one object that can make all open watches hang."""
 
     def __init__(self) -> None:
+        self.eras = eras.EraTracker()
+        self.era = ids.FIRST_ERA
         self.version = 1
         self.changed = asyncio.Event()
         self.hangs = 0
@@ -41,21 +43,31 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def restore(self, version: int) -> None:
+        """Come back from a copy with an earlier version."""
+        self.era = ids.StoreEra(self.era + 1)
+        self.version = version
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def hang_watches(self) -> None:
         """Make all open watches hang until they time out."""
         self.hangs += 1
 
     def _stored(self) -> store.StoredObject:
         body = str(self.version).encode()
-        return store.StoredObject(ids.ObjectVersion(self.version), body)
+        version = store_versions.StoreVersion(
+            self.era, ids.ObjectVersion(self.version)
+        )
+        return store.StoredObject(version, body)
 
     async def get(self, name: str) -> store.StoredObject | None:
         """Return the object."""
         return self._stored()
 
     async def put(
-        self, name: str, body: bytes, replaces: ids.ObjectVersion
-    ) -> ids.ObjectVersion:
+        self, name: str, body: bytes, replaces: store_versions.StoreVersion
+    ) -> store_versions.StoreVersion:
         """Not used here."""
         raise NotImplementedError
 
@@ -64,13 +76,16 @@
         raise NotImplementedError
 
     async def watch(
-        self, name: str, newer_than: ids.ObjectVersion, timeout_s: float
+        self,
+        name: str,
+        newer_than: store_versions.StoreVersion,
+        timeout_s: float,
     ) -> store.StoredObject | None:
         """Wait for a newer version; raise an error if the watch hangs."""
         loop = asyncio.get_running_loop()
         self.watch_times.append(loop.time())
         hangs, ends_at = self.hangs, loop.time() + timeout_s
-        while self.version <= newer_than and loop.time() < ends_at:
+        while self._stored().version <= newer_than and loop.time() < ends_at:
             try:
                 async with asyncio.timeout_at(ends_at):
                     await self.changed.wait()
@@ -79,7 +94,8 @@
             if hangs != self.hangs:
                 await asyncio.sleep(ends_at + CALL_TIMEOUT_S - loop.time())
                 raise store.StoreUnavailableError("timed out")
-        return self._stored() if self.version > newer_than else None
+        stored = self._stored()
+        return stored if stored.version > newer_than else None
 
 
 def decode(document: bytes) -> route_table.Table:
@@ -191,3 +207,40 @@
     span_s = times[-1] - times[0]
     assert len(times) / span_s < 20
     assert max(seconds.count(second) for second in set(seconds)) < 40
+
+
+def versions_in_force_over_a_restore() -> list[int]:
+    """Return the versions that a process applies, in order.
+
+    The store comes back from a copy of version 3 while version 5 is in
+    effect, and then gets version 6.
+    """
+    loop = simulated_time.SimulatedTimeLoop()
+    fleet = Fleet(loop, 1)
+    process = fleet.configurations[0]
+    applied: list[int] = []
+    process.listeners = (lambda table: applied.append(int(table.version)),)
+
+    async def run() -> None:
+        fleet.store.version = 5
+        running = asyncio.create_task(process.run())
+        await asyncio.sleep(5.0)
+        fleet.store.restore(3)
+        await asyncio.sleep(25.0)
+        for _ in range(3):
+            fleet.store.change()
+        await asyncio.sleep(25.0)
+        running.cancel()
+
+    loop.run_until_complete(run())
+    loop.close()
+    return applied
+
+
+def test_configuration_does_not_go_back_with_the_store() -> None:
+    assert versions_in_force_over_a_restore() == [5, 6]
+
+
+def test_broken_build_is_caught() -> None:
+    with broken_eras.patched("configuration-of-the-store"):
+        assert versions_in_force_over_a_restore() != [5, 6]
--- a/tests/test_object_store.py
+++ b/tests/test_object_store.py
@@ -7,7 +7,7 @@
 
 import msgspec
 import pytest
-from bronzepaddle import ids
+from bronzepaddle import ids, store_versions
 from bronzepaddle_callers import server
 from bronzepaddle_platform import object_store
 from bronzepaddle_store import http_calls, store
@@ -19,12 +19,15 @@
 class ScriptedStore:
     """A store with one object and without its early history.
 
-    Writes are answered with ``status``.
+    Writes are answered with ``status``, and all calls with the next era if
+    that is not empty.
     """
 
     def __init__(self) -> None:
         self.calls: list[str] = []
         self.status = 200
+        # The eras of the next answers; the last one stays.
+        self.eras = [""]
         self.http = server.BackgroundServer(
             ("127.0.0.1", 0), self.serve, numthreads=4, shutdown_timeout=1
         )
@@ -57,9 +60,11 @@
             body = {"events": [], "current_rev": 50}
         elif method == "GET" and environ["PATH_INFO"].endswith("config"):
             body = {"items": [document], "has_more": False, "current_rev": 44}
-        start_response(
-            f"{status} Said", [("Content-Type", "application/json")]
-        )
+        headers = [("Content-Type", "application/json")]
+        era = self.eras.pop(0) if len(self.eras) > 1 else self.eras[0]
+        if era:
+            headers.append(("Store-Era", era))
+        start_response(f"{status} Said", headers)
         return [msgspec.json.encode(body)]
 
 
@@ -70,6 +75,10 @@
     threading.Thread(target=scripted_store.http.stop, daemon=True).start()
 
 
+def version_of(revision: int) -> store_versions.StoreVersion:
+    return store_versions.of_first_era(ids.ObjectVersion(revision))
+
+
 def connect(scripted: ScriptedStore) -> object_store.ObjectStore:
     return object_store.ObjectStore(
         scripted.address, 5.0, http_calls.CallBudget(100)
@@ -84,7 +93,7 @@
     The client repeated the same request without a pause.
     """
     client = connect(scripted)
-    version = ids.ObjectVersion(7)
+    version = version_of(7)
 
     async def watch_three_times() -> None:
         for _ in range(3):
@@ -104,11 +113,9 @@
     scripted: ScriptedStore,
 ) -> None:
     client = connect(scripted)
-    newer = asyncio.run(client.watch("config/main", ids.ObjectVersion(3), 0.1))
+    newer = asyncio.run(client.watch("config/main", version_of(3), 0.1))
     client.close()
-    assert newer == store.StoredObject(
-        ids.ObjectVersion(7), b'{"version":"1"}'
-    )
+    assert newer == store.StoredObject(version_of(7), b'{"version":"1"}')
 
 
 @pytest.mark.parametrize(
@@ -127,5 +134,71 @@
     scripted.status = status
     client = connect(scripted)
     with pytest.raises(error):
-        asyncio.run(client.put("ownership/shop", b"{}", ids.ObjectVersion(6)))
+        asyncio.run(client.put("ownership/shop", b"{}", version_of(6)))
     client.close()
+
+
+def test_version_names_the_era_of_its_answer(scripted: ScriptedStore) -> None:
+    client = connect(scripted)
+    scripted.eras = ["2"]
+    stored = asyncio.run(client.get("config/main"))
+    assert stored is not None
+    assert stored.version == store_versions.StoreVersion(
+        ids.StoreEra(2), ids.ObjectVersion(7)
+    )
+    assert stored.version > version_of(99)
+
+
+def test_late_answer_of_an_earlier_era_is_dropped(
+    scripted: ScriptedStore,
+) -> None:
+    client = connect(scripted)
+    scripted.eras = ["2", "1"]
+    asyncio.run(client.get("config/main"))
+    with pytest.raises(store.StoreUnavailableError):
+        asyncio.run(client.get("config/main"))
+    with pytest.raises(store.UnknownOutcomeError):
+        asyncio.run(client.put("config/main", b"{}", store.ANY_VERSION))
+    assert client.eras.era == 2
+
+
+@pytest.mark.parametrize("text", ["-1", "x", "1.5", "9" * 30])
+def test_answer_of_unreadable_era_is_dropped(
+    scripted: ScriptedStore, text: str
+) -> None:
+    client = connect(scripted)
+    scripted.eras = [text]
+    with pytest.raises(store.StoreUnavailableError):
+        asyncio.run(client.get("config/main"))
+
+
+def test_write_replaces_no_version_of_another_era(
+    scripted: ScriptedStore,
+) -> None:
+    """A version of an earlier era is neither sent nor taken for replaced."""
+    client = connect(scripted)
+    scripted.eras = ["1", "2"]
+    stored = asyncio.run(client.get("config/main"))
+    assert stored is not None
+    with pytest.raises(store.UnknownOutcomeError):
+        asyncio.run(client.put("config/main", b"{}", stored.version))
+    calls = len(scripted.calls)
+    with pytest.raises(store.ConflictError):
+        asyncio.run(client.put("config/main", b"{}", stored.version))
+    assert len(scripted.calls) == calls
+
+
+def test_watch_starts_anew_in_a_new_era(scripted: ScriptedStore) -> None:
+    """The kind is listed, whether the era rises before or with the answer."""
+    client = connect(scripted)
+    scripted.eras = ["1", "2"]
+    first = asyncio.run(client.watch("config/main", version_of(60), 0.1))
+    assert first is not None and first.version.era == 2
+    lists = [call for call in scripted.calls if "watch=" not in call]
+    assert len(lists) == 1
+    scripted.eras = ["3"]
+    asyncio.run(client.get("config/main"))
+    calls = len(scripted.calls)
+    second = asyncio.run(client.watch("config/main", first.version, 0.1))
+    assert second is not None and second.version.era == 3
+    assert not any("watch=" in call for call in scripted.calls[calls:])
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -21,6 +21,7 @@
     ids,
     key_ranges,
     route_table,
+    store_versions,
 )
 from bronzepaddle_backend import announcements
 from bronzepaddle_callers import server
@@ -173,7 +174,11 @@
     response = b'{"events":[%b,null],"current_rev":50}' % events
     with connected_store(response) as client:
         changed = asyncio.run(
-            client.watch("config/main", ids.ObjectVersion(3), 1.0)
+            client.watch(
+                "config/main",
+                store_versions.of_first_era(ids.ObjectVersion(3)),
+                1.0,
+            )
         )
     assert changed is not None
     assert changed.body == b'{"v":1}'
--- a/tests/test_sidecar_metrics.py
+++ b/tests/test_sidecar_metrics.py
@@ -22,6 +22,7 @@
     config_version=4,
     config_refused=True,
     ownership_version=5,
+    store_era=2,
     peers_alive=6,
     oldest_status_s=0.2,
     lines_dropped={"served": 3},
