Register again when the store has lost a registration

Cause: a process registered once, at its start. A store that came back from a copy of before that start didn't list it, and processes that started later didn't find it.

Change: when the era rises, each process lists the registrations, spread over processes / 20 seconds, and registers again if its own is missing. The test stand-in of the store takes copies and comes back from them.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -207,7 +207,7 @@
         await self._serve_peers()
         self._serve_http()
         start = self.background_tasks.start
-        start(self.broadcaster.register(), "register")
+        start(self.broadcaster.keep_registered(), "register")
         start(self.broadcaster.run(), "statuses")
         start(self.configuration.run(), "configuration")
         start(
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/status_broadcast.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/status_broadcast.py
@@ -60,6 +60,10 @@
 RETRY_S: typing.Final = 0.4
 """Minimum pause before the registration in the store is retried."""
 
+CHECKS_PER_S: typing.Final = 20.0
+"""Checks per second that all processes make of their registrations when the
+store has come back from a copy."""
+
 REGISTRATIONS_FOLDER: typing.Final = "members"
 """Folder of the store with one object for each process of any service."""
 
@@ -318,16 +322,42 @@
                 peer.logged_alive = alive
                 logs.peer(name, alive, now - peer.heard_at)
 
-    async def register(self) -> None:
+    async def keep_registered(self) -> None:
+        """Register this process, and again where a new era has lost it."""
+        era = await self.register()
+        while True:
+            await self.object_store.eras.wait_after(era)
+            longest_s = len(self.peer_table.peers) / CHECKS_PER_S
+            await self.clock.sleep(longest_s * secrets.randbelow(100) / 100)
+            era = self.object_store.eras.era
+            if not await self._is_registered():
+                era = await self.register()
+
+    async def _is_registered(self) -> bool:
+        """Return whether the store lists this process as registered."""
+        own_name = self.peer_table.own_name
+        try:
+            registrations = await self.object_store.list(REGISTRATIONS_FOLDER)
+        except store.StoreError as error:
+            logs.call_failed(REGISTRATIONS_FOLDER, repr(error))
+            return False
+        self._discover(registrations)
+        own_address = self.registration.address
+        return self.discovered.get(own_name) == own_address
+
+    async def register(self) -> ids.StoreEra:
         """Register this process in the store, then read all registrations.
 
-        Retries until both succeed.
+        Retries until both succeed.  Returns the era of the store in which
+        the registration was written.
         """
         name = f"{REGISTRATIONS_FOLDER}/{self.peer_table.own_name}"
         body = msgspec.json.encode(self.registration)
         while True:
             try:
-                await self.object_store.put(name, body, store.ANY_VERSION)
+                version = await self.object_store.put(
+                    name, body, store.ANY_VERSION
+                )
                 registrations = await self.object_store.list(
                     REGISTRATIONS_FOLDER
                 )
@@ -337,6 +367,15 @@
                 await self.clock.sleep(
                     RETRY_S * (1 + secrets.randbelow(100) / 100)
                 )
+        self._discover(registrations)
+        self.broadcast_soon()
+        return version.era
+
+    def _discover(
+        self, registrations: collections.abc.Mapping[str, store.StoredObject]
+    ) -> None:
+        """Record the addresses of the registered processes."""
+        self.discovered.pop(self.peer_table.own_name, None)
         for process_name, stored in registrations.items():
             try:
                 process = documents.decode(stored.body, RegisteredProcess)
@@ -346,4 +385,3 @@
                 )
                 continue
             self.discovered[ids.MemberId(process_name)] = process.address
-        self.broadcast_soon()
--- a/tests/integration/platform_standins.py
+++ b/tests/integration/platform_standins.py
@@ -6,6 +6,7 @@
 """
 
 import collections.abc
+import copy
 import threading
 import time
 import typing
@@ -20,6 +21,12 @@
 """Longest time that a request is blocked, to end a hung test."""
 
 
+StoreCopy: typing.TypeAlias = tuple[
+    int, dict[str, dict[str, tuple[int, typing.Any]]]
+]
+"""The revision and the objects of a store at one moment."""
+
+
 class _HttpServer:
     """Base class of HTTP servers; listens on a free port."""
 
@@ -68,12 +75,14 @@
 
     ``objects_by_kind`` holds, by kind and name, the revision and the spec of
     each object.  ``revision`` is the last revision that the store assigned;
-    every write gets the next one.
+    every write gets the next one.  ``era`` is sent with each response unless
+    it is 0.
     """
 
     def __init__(self) -> None:
         self.changed = threading.Condition()
         self.revision = 10
+        self.era = 0
         self.objects_by_kind: dict[str, dict[str, tuple[int, typing.Any]]] = {}
         super().__init__()
 
@@ -108,10 +117,23 @@
             case _:
                 document = msgspec.json.decode(_read_body(environ))
                 result = self._write(kind, name, document)
+        era = [("Store-Era", str(self.era))] if self.era else []
         return _respond(
-            start_response, result[0], msgspec.json.encode(result[1])
+            start_response, result[0], msgspec.json.encode(result[1]), era
         )
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of all objects."""
+        with self.changed:
+            return self.revision, copy.deepcopy(self.objects_by_kind)
+
+    def restore(self, copied: StoreCopy) -> None:
+        """Come back from a copy, in the next era."""
+        with self.changed:
+            self.revision, self.objects_by_kind = copied
+            self.era += 1
+            self.changed.notify_all()
+
     def _object(self, kind: str, name: str) -> dict[str, typing.Any]:
         revision, spec = self.objects_by_kind[kind][name]
         metadata = {"name": name, "revision": revision}
@@ -148,11 +170,16 @@
             ]
 
         with self.changed:
-            self.changed.wait_for(newer_names, int(query["wait_ms"]) / 1000)
+            self.changed.wait_for(
+                lambda: newer_names() or since > self.revision,
+                int(query["wait_ms"]) / 1000,
+            )
             events = [
                 {"tombstone": False, "object": self._object(kind, name)}
                 for name in newer_names()
             ]
+            if since > self.revision:
+                return 410, {}
             return 200, {"events": events, "current_rev": self.revision}
 
     def _write(
