--- a/bench/logcost.py
+++ b/bench/logcost.py
@@ -27,22 +27,23 @@
     MEMBER, "i-0123456789@1790230063093", 4, 0.123, "ran", "served", 0.0812
 )
 READINGS: typing.Final = sidecar_metrics.Readings(
-    0,
-    0,
-    {},
-    0.0,
-    0,
-    0.0,
-    0,
-    0,
-    False,
-    0,
-    0,
-    0,
-    0.0,
-    {},
-    0.0,
-    runtime_stats.Snapshot(
+    waiting=0,
+    running=0,
+    retries_left={},
+    lease_left_s=0.0,
+    keys_held=0,
+    unheld_s=0.0,
+    ranges_moved=0,
+    config_version=0,
+    config_refused=False,
+    zones_evacuated=0,
+    ownership_version=0,
+    store_era=0,
+    peers_alive=0,
+    oldest_status_s=0.0,
+    lines_dropped={},
+    loop_lag_s=0.0,
+    snapshot=runtime_stats.Snapshot(
         runtime_stats.DatagramStats(0, 0, 0, 0, 0), {}, 0, 0.0
     ),
 )
--- a/packages/bronzepaddle-store/src/bronzepaddle_store/store.py
+++ b/packages/bronzepaddle-store/src/bronzepaddle_store/store.py
@@ -34,6 +34,14 @@
     body: bytes
 
 
+@dataclasses.dataclass(frozen=True)
+class FolderNames:
+    """The names in a folder as of a version of the store."""
+
+    version: store_versions.StoreVersion
+    names: frozenset[str]
+
+
 class StoreError(Exception):
     """A call to the platform failed."""
 
