--- a/packages/bronzepaddle-node/src/bronzepaddle_node/fleet/evacuations.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/fleet/evacuations.py
@@ -15,7 +15,7 @@
 import typing
 
 import xxhash
-from bronzepaddle import clocks, ids, logs
+from bronzepaddle import clocks, ids, logs, store_versions
 from bronzepaddle_backend import server_tracker
 from bronzepaddle_peers import statuses
 from bronzepaddle_store import store
@@ -65,11 +65,11 @@
         ...
 
     async def watch_folder(
-        self, folder: str, since: ids.ObjectVersion, timeout_s: float
-    ) -> ids.ObjectVersion | None:
-        """Wait for a change of a folder since a revision.
+        self, folder: str, since: store_versions.StoreVersion, timeout_s: float
+    ) -> store_versions.StoreVersion | None:
+        """Wait for a change of a folder since a version.
 
-        Returns the revision from which to watch on, or None if there was a
+        Returns the version from which to watch on, or None if there was a
         change or may have been one.  Raises ``store.StoreUnavailableError``.
         """
         ...
@@ -103,9 +103,9 @@
         self.clock = clock
         self.rng = rng
         self.known: statuses.Evacuations | None = None
-        # The revision from which the next watch starts, None if the entries
+        # The version from which the next watch starts, None if the entries
         # have to be listed first.
-        self.watched_from: ids.ObjectVersion | None = None
+        self.watched_from: store_versions.StoreVersion | None = None
         # Whether the last call to the store failed.
         self.store_unreachable = False
 
@@ -166,10 +166,13 @@
         """List the entries, or wait until they have changed."""
         if self.watched_from is None:
             listed = await self.zone_store.list_names(FOLDER)
-            self.watched_from = listed.revision
+            self.watched_from = listed.version
             zones = tuple(ids.ZoneName(name) for name in sorted(listed.names))
             self._adopt(
-                statuses.Evacuations(0, listed.revision, zones), "store"
+                statuses.Evacuations(
+                    listed.version.era, listed.version.revision, zones
+                ),
+                "store",
             )
             return
         longest_s = WATCH_FACTOR * self.within_s
--- a/packages/bronzepaddle/src/bronzepaddle/key_ranges.py
+++ b/packages/bronzepaddle/src/bronzepaddle/key_ranges.py
@@ -62,12 +62,15 @@
     ``longest_hold_s`` is how long grants by command may last where the work
     of the servers needs it; 0 until it has.  It is never lowered, so a process
     that starts anew finds here how long grants of before may last.
+    ``era`` is that of the store in which it was written.  In a later era it
+    says nothing until it has been restored (``restored_ownership``).
     """
 
     service: ids.ServiceName
     next_token: ids.Token
     ranges: tuple[Range, ...]
     longest_hold_s: float = 0.0
+    era: ids.StoreEra = ids.FIRST_ERA
 
     def owned_by(self, member: ids.MemberId) -> list[Range]:
         """Return the ranges that a member owns."""
@@ -189,7 +192,7 @@
         return None
     next_token = ids.Token(ownership.next_token + len(tokens))
     return msgspec.structs.replace(
-        ownership, next_token=next_token, ranges=_merge_adjacent(ranges)
+        ownership, next_token=next_token, ranges=merge_adjacent(ranges)
     )
 
 
@@ -237,7 +240,7 @@
     )
     if ranges == ownership.ranges:
         return None
-    return msgspec.structs.replace(ownership, ranges=_merge_adjacent(ranges))
+    return msgspec.structs.replace(ownership, ranges=merge_adjacent(ranges))
 
 
 def _is_unreleased(
@@ -270,11 +273,11 @@
     return msgspec.structs.replace(
         ownership,
         next_token=ids.Token(token + 1),
-        ranges=_merge_adjacent(ranges),
+        ranges=merge_adjacent(ranges),
     )
 
 
-def _merge_adjacent(
+def merge_adjacent(
     ranges: collections.abc.Iterable[Range],
 ) -> tuple[Range, ...]:
     """Merge adjacent ranges that differ only in their keys."""
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -10,7 +10,7 @@
 import typing
 
 import pytest
-from bronzepaddle import cells, ids
+from bronzepaddle import cells, ids, store_versions
 from bronzepaddle_backend import server_tracker
 from bronzepaddle_node import peer_table
 from bronzepaddle_node.fleet import evacuations
@@ -40,6 +40,12 @@
         self.cut: set[str] = set()
         self.calls = 0
 
+    def version(self) -> store_versions.StoreVersion:
+        """Return the version of the store."""
+        return store_versions.StoreVersion(
+            ids.FIRST_ERA, ids.ObjectVersion(self.revision)
+        )
+
     def write(self, names: set[str]) -> None:
         """Replace all entries."""
         self.revision += 1
@@ -65,17 +71,17 @@
         """Return all names."""
         await self._check()
         return store.FolderNames(
-            ids.ObjectVersion(self.zone_store.revision), self.zone_store.names
+            self.zone_store.version(), self.zone_store.names
         )
 
     async def watch_folder(
-        self, folder: str, since: ids.ObjectVersion, timeout_s: float
-    ) -> ids.ObjectVersion | None:
+        self, folder: str, since: store_versions.StoreVersion, timeout_s: float
+    ) -> store_versions.StoreVersion | None:
         """Wait for a change; hang if all watches hang meanwhile."""
         await self._check()
         loop = asyncio.get_running_loop()
         hangs, ends_at = self.zone_store.hangs, loop.time() + timeout_s
-        while self.zone_store.revision <= since and loop.time() < ends_at:
+        while self.zone_store.version() <= since and loop.time() < ends_at:
             try:
                 async with asyncio.timeout_at(ends_at):
                     await self.zone_store.changed.wait()
@@ -84,7 +90,7 @@
             if hangs != self.zone_store.hangs:
                 await asyncio.sleep(ends_at + CALL_TIMEOUT_S - loop.time())
                 raise store.StoreUnavailableError("timed out")
-        return None if self.zone_store.revision > since else since
+        return None if self.zone_store.version() > since else since
 
 
 class Process:
--- a/tests/test_sidecar_metrics.py
+++ b/tests/test_sidecar_metrics.py
@@ -30,6 +30,7 @@
     config_refused=True,
     zones_evacuated=1,
     ownership_version=5,
+    store_era=2,
     peers_alive=6,
     oldest_status_s=0.2,
     lines_dropped={"served": 3},
--- a/tests/test_truthful_refusals.py
+++ b/tests/test_truthful_refusals.py
@@ -147,11 +147,11 @@
             clock,
             random.Random(1),
         )
-        response = await sender._send(
+        reply = await sender._send(
             peer, local_processes.forwarded_request(time_left_s=0.3)
         )
         assert peer.in_flight == 0
-        return response
+        return reply.response
 
     response = local_processes.run_simulated(send)
     assert (response.verdict, response.status) == (verdict, status)
