Test that what only one member knows is restored

Cause: no scenario had another member restore than the one that knew the last version, so nothing showed that members pull it from each other meanwhile.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/reconciler.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/reconciler.py
@@ -209,6 +209,8 @@
 
         Only once no lease can be in force any more (``restoration``).
         """
+        if self.view.restoration.outdated is None:
+            return
         now = self.clock.now()
         outdated = self.view.restoration.due(now, self.planner.rank(now))
         if outdated is None or self.view.store_unreachable:
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -107,6 +107,22 @@
     assert await fleet.wait_until_served(SERVED_AGAIN_S) < SERVED_AGAIN_S
 
 
+async def lost_move_is_known_to_one_member_only(
+    fleet: simulated_fleet.SimulatedFleet,
+) -> None:
+    """Let another member restore than the one that wrote the last version."""
+    await _settled(fleet)
+    fleet.network_delays_s.update(dict.fromkeys(("b", "c", "d"), 0.2))
+    await _move_keys_of(fleet, "d")
+    await asyncio.sleep(0.01)
+    lost = simulated_fleet.stored_ownership(fleet)
+    fleet.store_server.restore(4.0)
+    await simulated_fleet.apply_event(fleet, "offline", "a")
+    if _holders(await _restored(fleet)) != _holders(lost):
+        raise simulated_cell.Violation("what one member knows is not restored")
+    await fleet.wait_until_served(SERVED_AGAIN_S)
+
+
 async def service_goes_on_under_the_leases_of_the_last_era(
     fleet: simulated_fleet.SimulatedFleet,
 ) -> None:
@@ -285,6 +301,7 @@
 
 SCENARIOS: typing.Final = (
     lost_move_is_written_again,
+    lost_move_is_known_to_one_member_only,
     service_goes_on_under_the_leases_of_the_last_era,
     everyone_restarts_and_only_the_copy_is_left,
     cut_off_member_holds_what_the_copy_gives_to_others,
