Read the ownership object at once when another call shows a new era

Cause: a member noticed a return of the store at its next periodic read, up to 0.8 s later, and the wait of the first write began as late.

Change: one read out of turn when the era has risen since the last read ended.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/keys/ownership_view.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/keys/ownership_view.py
@@ -102,6 +102,8 @@
         # The ranges that the latest known ownership assigns to this member.
         self.own_ranges: list[key_ranges.Range] = []
         self.last_read_at = float("-inf")
+        # The latest known era when the last read ended.
+        self.read_in_era = ids.FIRST_ERA
         self.last_read: statuses.OwnershipRead | None = None
         self.status_sent_at: dict[int, float] = {}
         # Per peer, a lower bound for the time of its last read, taken from
@@ -135,7 +137,12 @@
         self.wakeup.set()
 
     def read_is_due(self) -> bool:
-        """Return whether the object should be read now."""
+        """Return whether the object should be read now.
+
+        That is at its time, and once when another call has shown a new era.
+        """
+        if self.object_store.eras.era > self.read_in_era:
+            return True
         since_s = self.clock.now() - self.last_read_at
         return since_s >= self.settings.times.read_interval_s
 
@@ -155,6 +162,8 @@
             self.store_unreachable = True
             logs.call_failed(self.object_name, repr(error))
             return
+        finally:
+            self.read_in_era = self.object_store.eras.era
         if stored is None:
             absent = store_versions.StoreVersion(
                 self.object_store.eras.era, ids.NO_VERSION
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -11,6 +11,7 @@
 
 import pytest
 from bronzepaddle import ids, key_ranges
+from bronzepaddle_node import reconciler
 from support import (
     broken_eras,
     fake_servers,
@@ -299,7 +300,23 @@
     await fleet.wait_until_served(SERVED_AGAIN_S)
 
 
+async def member_reads_at_once_in_an_era_that_another_call_shows(
+    fleet: simulated_fleet.SimulatedFleet,
+) -> None:
+    await _settled(fleet)
+    view = fleet.processes["a"].reconciler.view
+    last_read_at = view.last_read_at
+    await _wait_until(fleet, lambda: view.last_read_at > last_read_at)
+    await asyncio.sleep(0.05)
+    fleet.store_server.restore(2.0)
+    view.object_store.eras.record(fleet.store_server.era)
+    await asyncio.sleep(2 * reconciler.TICK_S)
+    if view.restoration.outdated is None:
+        raise simulated_cell.Violation("the object is not read at once")
+
+
 SCENARIOS: typing.Final = (
+    member_reads_at_once_in_an_era_that_another_call_shows,
     lost_move_is_written_again,
     lost_move_is_known_to_one_member_only,
     service_goes_on_under_the_leases_of_the_last_era,
