--- a/packages/bronzepaddle-node/src/bronzepaddle_node/reconciler.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/reconciler.py
@@ -222,11 +222,12 @@
             newest = self.planner.next_ownership(
                 None, now, self.view.peers_read_at, self.lease_since
             )
-        after = newest and restored_ownership.restore(newest, outdated.version)
-        if newest is None or after is None:
+        if newest is None:
+            return
+        after = restored_ownership.restore(newest, outdated.version)
+        if after is None:
             return
-        written = await self.view.replace(outdated.version, after)
-        if written:
+        if await self.view.replace(outdated.version, after):
             logs.ownership_restored(
                 self.settings.name, after, newest.next_token, newest is known
             )
