--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -11,6 +11,7 @@
 
 import pytest
 from bronzepaddle import ids, key_ranges
+from bronzepaddle_node import reconciler
 from support import (
     broken_eras,
     fake_servers,
@@ -107,6 +108,22 @@
     assert await fleet.wait_until_served(SERVED_AGAIN_S) < SERVED_AGAIN_S
 
 
+async def lost_move_is_known_to_one_member_only(
+    fleet: simulated_fleet.SimulatedFleet,
+) -> None:
+    """Let another member restore than the one that wrote the last version."""
+    await _settled(fleet)
+    fleet.network_delays_s.update(dict.fromkeys(("b", "c", "d"), 0.2))
+    await _move_keys_of(fleet, "d")
+    await asyncio.sleep(0.01)
+    lost = simulated_fleet.stored_ownership(fleet)
+    fleet.store_server.restore(4.0)
+    await simulated_fleet.apply_event(fleet, "offline", "a")
+    if _holders(await _restored(fleet)) != _holders(lost):
+        raise simulated_cell.Violation("what one member knows is not restored")
+    await fleet.wait_until_served(SERVED_AGAIN_S)
+
+
 async def service_goes_on_under_the_leases_of_the_last_era(
     fleet: simulated_fleet.SimulatedFleet,
 ) -> None:
@@ -283,8 +300,25 @@
     await fleet.wait_until_served(SERVED_AGAIN_S)
 
 
+async def member_reads_at_once_in_an_era_that_another_call_shows(
+    fleet: simulated_fleet.SimulatedFleet,
+) -> None:
+    await _settled(fleet)
+    view = fleet.processes["a"].reconciler.view
+    last_read_at = view.last_read_at
+    await _wait_until(fleet, lambda: view.last_read_at > last_read_at)
+    await asyncio.sleep(0.05)
+    fleet.store_server.restore(2.0)
+    view.object_store.eras.record(fleet.store_server.era)
+    await asyncio.sleep(2 * reconciler.TICK_S)
+    if view.restoration.outdated is None:
+        raise simulated_cell.Violation("the object is not read at once")
+
+
 SCENARIOS: typing.Final = (
+    member_reads_at_once_in_an_era_that_another_call_shows,
     lost_move_is_written_again,
+    lost_move_is_known_to_one_member_only,
     service_goes_on_under_the_leases_of_the_last_era,
     everyone_restarts_and_only_the_copy_is_left,
     cut_off_member_holds_what_the_copy_gives_to_others,
