Decide which bodies are read and which slow callers are closed

Nothing bounds the bodies that a process holds, nor the threads that wait for callers (tests/integration/test_crowds.py, red).

Add the two decisions to the core, without input or output: a budget in bytes from which a body is reserved before it is read, and the lag of callers behind a least rate, by which the slowest are closed. HeldBody keeps a large body in one memory map, whose reservation ends with its last view. Nothing uses them yet. The fingerprint of a request no longer copies its body.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/crash_detector.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/crash_detector.py
@@ -80,7 +80,11 @@
         ] = {}
 
     def rejects(
-        self, service: ids.ServiceName, method: str, target: str, body: bytes
+        self,
+        service: ids.ServiceName,
+        method: str,
+        target: str,
+        body: bytes | memoryview,
     ) -> bool:
         """Return whether a request must not be sent to any server now."""
         if not self.suspects.records:
--- /dev/null
+++ b/packages/bronzepaddle/src/bronzepaddle/held_body.py
@@ -0,0 +1,93 @@
+"""Bodies of requests and responses in memory that is reserved from a budget.
+
+A large body is received into one anonymous memory map.  It is not copied
+again, its pages are used only once bytes arrive in them, and they are given
+back to the system when the last view of it is gone, whatever threads or
+messages have used it.  Its reservation ends at the same time.
+"""
+
+import collections.abc
+import mmap
+import typing
+import weakref
+
+from bronzepaddle import http_messages
+from bronzepaddle.load import body_budget
+
+
+class NoRoomError(Exception):
+    """The budget has no room for a body."""
+
+    def __init__(self, refused: body_budget.Refused) -> None:
+        super().__init__(str(refused))
+        self.refused = refused
+
+
+class HeldBody:
+    """A body that is being received, of at most ``max_bytes``."""
+
+    def __init__(self, budget: body_budget.BodyBudget, max_bytes: int) -> None:
+        self.reservation = budget.open()
+        self.size = 0
+        memory = mmap.mmap(
+            -1,
+            max(1, max_bytes),
+            flags=mmap.MAP_PRIVATE | mmap.MAP_ANONYMOUS,
+        )
+        self.memory = memoryview(memory)
+        # The reservation must not end before the memory is given back, which
+        # happens when the last view of it is gone.
+        at_end = weakref.finalize(memory, self.reservation.release)
+        at_end.atexit = False
+
+    def reserve(self, size: int) -> None:
+        """Reserve memory for ``size`` bytes in all.
+
+        Raises ``NoRoomError``.
+        """
+        added_bytes = size - self.reservation.reserved_bytes
+        if added_bytes <= 0:
+            return
+        match self.reservation.grow(added_bytes):
+            case body_budget.Granted():
+                return
+            case body_budget.Refused() as refused:
+                raise NoRoomError(refused)
+            case never:
+                typing.assert_never(never)
+
+    def append(self, data: bytes) -> None:
+        """Reserve memory for further bytes, and add them.
+
+        Raises ``NoRoomError``, or ``ValueError`` if the body becomes larger
+        than its maximum.
+        """
+        end = self.size + len(data)
+        if end > len(self.memory):
+            raise ValueError("the body is larger than announced")
+        self.reserve(end)
+        self.memory[self.size : end] = data
+        self.size = end
+
+    def received(self) -> memoryview:
+        """Return the bytes received so far."""
+        return self.memory[: self.size]
+
+
+class Pieces(collections.abc.Iterator[bytes]):
+    """The body of a response, in pieces of ``http_messages.CHUNK_BYTES``.
+
+    ``size`` is the size of the whole body.
+    """
+
+    def __init__(self, body: bytes | memoryview) -> None:
+        self.body = memoryview(body)
+        self.size = len(self.body)
+        self.position = 0
+
+    def __next__(self) -> bytes:
+        start = self.position
+        if start >= self.size:
+            raise StopIteration
+        self.position = start + http_messages.CHUNK_BYTES
+        return bytes(self.body[start : self.position])
--- a/packages/bronzepaddle/src/bronzepaddle/logs.py
+++ b/packages/bronzepaddle/src/bronzepaddle/logs.py
@@ -315,6 +315,30 @@
     slots: int
 
 
+def body_refused(
+    request_id: ids.RequestId,
+    response: http_messages.Response,
+    held_bytes: int,
+    limit_bytes: int,
+) -> None:
+    """Log a request that was refused because of its body."""
+    eliot.log_message(
+        message_type="body-refused",
+        request_id=request_id,
+        reason=response.reason.value,
+        detail=response.detail,
+        held_bytes=held_bytes,
+        limit_bytes=limit_bytes,
+    )
+
+
+def slow_caller(reason: str, lag_s: float) -> None:
+    """Log a caller that is closed because it sends or reads too slowly."""
+    eliot.log_message(
+        message_type="slow-caller", reason=reason, lag_s=round(lag_s, 3)
+    )
+
+
 def turned_away(
     request_id: ids.RequestId,
     route: str,
--- a/packages/bronzepaddle/src/bronzepaddle/suspects.py
+++ b/packages/bronzepaddle/src/bronzepaddle/suspects.py
@@ -34,14 +34,20 @@
 
 
 def fingerprint(
-    service: ids.ServiceName, method: str, target: str, body: bytes
+    service: ids.ServiceName,
+    method: str,
+    target: str,
+    body: bytes | memoryview,
 ) -> Fingerprint:
     """Return the fingerprint of a request.
 
     ``body`` is the start of its body.
     """
     text = f"{service}\0{method}\0{target}\0"
-    return Fingerprint(xxhash.xxh3_128_hexdigest(text.encode() + body))
+    digest = xxhash.xxh3_128(text.encode())
+    # A large body is not copied.
+    digest.update(body)
+    return Fingerprint(digest.hexdigest())
 
 
 class Suspects:
--- a/packages/bronzepaddle/src/bronzepaddle/verdicts.py
+++ b/packages/bronzepaddle/src/bronzepaddle/verdicts.py
@@ -33,6 +33,8 @@
     NO_KEY = "no-key"
     BAD_REQUEST = "bad-request"
     TOO_LARGE = "too-large"
+    MEMORY_FULL = "memory-full"
+    SLOW_CALLER = "slow-caller"
     NO_OWNER = "no-owner"
     NO_BUNDLE = "no-bundle"
     NOT_OWNER = "not-owner"
