Send large request bodies to peers in parts, and bound what waits

Encoding a request with its body takes three copies of the body at both ends, and the queues of the streams keep whole bodies: a single body of 64 MiB through a second process took 248,592 kB.

Send a body above 64 KiB in parts of 64 KiB before its request, to processes whose status says that they take parts. The receiver reserves the body from the budget at its first part or refuses the request as not run. The queue of a stream holds request numbers in place of bodies, and at most eight pieces of responses. A response for which the receiver has no room may have run.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
@@ -451,7 +451,8 @@
             time_left_s=time_left_s,
             target_s=route.target_s,
             late=progress.late,
-            body=request.body,
+            # Streams and servers are sent any buffer.
+            body=typing.cast(bytes, request.body),
         )
 
     async def _send(
@@ -480,7 +481,10 @@
                     reply = await self.local_backend.handle(forwarded)
                 else:
                     reply = await self.peer_streams.send(
-                        member, peer.status.address, forwarded
+                        member,
+                        peer.status.address,
+                        forwarded,
+                        peer.status.takes_parts,
                     )
         except TimeoutError:
             timed_out = True
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/statuses.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/statuses.py
@@ -130,6 +130,8 @@
     ``store_era`` is the era of the store to which ``ownership_version``
     belongs.  ``evacuations`` are the zones whose servers must get no requests,
     as last read, None if the sender doesn't know them.
+
+    ``takes_parts`` is set if the sender takes large request bodies in parts.
     """
 
     sender: ids.MemberId
@@ -160,6 +162,7 @@
     starts_per_s: float = 0.0
     store_era: int = 0
     evacuations: Evacuations | None = None
+    takes_parts: bool = False
 
 
 NO_SERVER_RUN: typing.Final = ""
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_client.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_client.py
@@ -11,7 +11,18 @@
 import typing
 
 import grpclib.client
-from bronzepaddle import cells, http_messages, ids, keepalive, logs, verdicts
+import msgspec
+from bronzepaddle import (
+    bounded_http,
+    cells,
+    held_body,
+    http_messages,
+    ids,
+    keepalive,
+    logs,
+    verdicts,
+)
+from bronzepaddle.load import body_budget
 
 from bronzepaddle_peers import codec, rpc_client, statuses, stream_messages
 
@@ -49,16 +60,42 @@
 
 
 class _Pending:
-    """A request that has no complete response yet."""
+    """A request that has no complete response yet.
 
-    def __init__(self, reply_future: "asyncio.Future[Reply]") -> None:
+    ``in_parts`` is set if its body may be sent in parts.
+    """
+
+    def __init__(
+        self,
+        request: stream_messages.ForwardedRequest,
+        in_parts: bool,
+        reply_future: "asyncio.Future[Reply]",
+    ) -> None:
+        self.request = request
+        self.in_parts = (
+            in_parts and len(request.body) > stream_messages.PART_BYTES
+        )
         self.reply_future = reply_future
         self.head: stream_messages.ResponseHead | None = None
-        self.pieces: list[bytes] = []
-        # Set once any part of the request may have reached the peer.
+        # The body of a response with more than one piece.
+        self.body: held_body.HeldBody | None = None
+        # Set once the peer may have got the request.  It doesn't run one
+        # of which it has only parts.
         self.sent = False
 
 
+@dataclasses.dataclass(frozen=True)
+class _QueuedRequest:
+    """A request to be written, with the bytes of its body sent before.
+
+    The queue doesn't contain the body, so that it is dropped at once when the
+    request is given up.
+    """
+
+    number: int
+    sent_bytes: int = 0
+
+
 StatusCallback: typing.TypeAlias = collections.abc.Callable[
     [statuses.Status], None
 ]
@@ -73,28 +110,29 @@
         member: ids.MemberId,
         address: cells.Address,
         on_status: StatusCallback,
+        budget: body_budget.BodyBudget,
     ) -> None:
         self.member = member
+        self.budget = budget
         self.on_status = on_status
         self.channel = grpclib.client.Channel(
             address.host, address.port, codec=codec.MsgpackCodec()
         )
         self.pending: dict[int, _Pending] = {}
-        self.outgoing: asyncio.Queue[stream_messages.ClientMessage] = (
-            asyncio.Queue()
-        )
+        self.outgoing: asyncio.Queue[
+            stream_messages.ClientMessage | _QueuedRequest
+        ] = asyncio.Queue()
         self.last_received_at = asyncio.get_running_loop().time()
         self.closed = False
         self.task = asyncio.create_task(self._run(), name=f"to {member}")
 
-    def send(
-        self, request: stream_messages.ForwardedRequest, pending: _Pending
-    ) -> None:
+    def send(self, pending: _Pending) -> None:
         """Queue a request for writing."""
+        number = pending.request.number
         if not self.pending:
             self.last_received_at = asyncio.get_running_loop().time()
-        self.pending[request.number] = pending
-        self.outgoing.put_nowait(request)
+        self.pending[number] = pending
+        self.outgoing.put_nowait(_QueuedRequest(number))
 
     async def _run(self) -> None:
         """Connect and run the stream until it breaks or is cancelled."""
@@ -139,13 +177,40 @@
 
     async def _write(self, stream: _Stream) -> None:
         while True:
-            message = await self.outgoing.get()
-            if isinstance(message, stream_messages.ForwardedRequest):
-                pending = self.pending.get(message.number)
-                if pending is None:
-                    continue
-                pending.sent = True
-            await stream.send_message(message)
+            match await self.outgoing.get():
+                case _QueuedRequest() as queued:
+                    pending = self.pending.get(queued.number)
+                    if pending is not None:
+                        await self._write_request(stream, pending, queued)
+                case message:
+                    await stream.send_message(message)
+
+    async def _write_request(
+        self, stream: _Stream, pending: _Pending, queued: _QueuedRequest
+    ) -> None:
+        """Write a request, or one part of its body."""
+        request, start = pending.request, queued.sent_bytes
+        if not pending.in_parts:
+            pending.sent = True
+            await stream.send_message(request)
+            return
+        size = len(request.body)
+        if start >= size:
+            pending.sent = True
+            await stream.send_message(
+                msgspec.structs.replace(request, body=b"", parts_size=size)
+            )
+            return
+        end = start + stream_messages.PART_BYTES
+        await stream.send_message(
+            stream_messages.RequestPart(
+                request.number,
+                start,
+                size,
+                bytes(memoryview(request.body)[start:end]),
+            )
+        )
+        self.outgoing.put_nowait(_QueuedRequest(request.number, end))
 
     async def _ping_if_silent(self) -> None:
         """Ping a silent peer while requests to it are outstanding.
@@ -192,15 +257,43 @@
     def _append_piece(
         self, number: int, pending: _Pending, piece: bytes, more: bool
     ) -> None:
-        """Append a piece of a body; complete the reply after the last one."""
-        pending.pieces.append(piece)
+        """Append a piece of a body; complete the reply after the last one.
+
+        If there is no room for the body, the reply is a rejection.
+        """
+        body: bytes | memoryview = piece
+        if more or pending.body is not None:
+            if pending.body is None:
+                pending.body = held_body.HeldBody(
+                    self.budget, bounded_http.MAX_BODY_BYTES
+                )
+            try:
+                pending.body.append(piece)
+            except (held_body.NoRoomError, ValueError) as error:
+                self._give_up(number, pending, error)
+                return
+            body = pending.body.received()
         if more:
             return
         del self.pending[number]
         if pending.head is not None and not pending.reply_future.done():
-            pending.reply_future.set_result(
-                _reply(pending.head, pending.pieces)
+            pending.reply_future.set_result(_reply(pending.head, body))
+
+    def _give_up(
+        self, number: int, pending: _Pending, error: Exception
+    ) -> None:
+        """Discard a response that can't be received."""
+        del self.pending[number]
+        pending.body = None
+        self.outgoing.put_nowait(stream_messages.Cancel(number))
+        if not pending.reply_future.done():
+            response = http_messages.rejection(
+                verdicts.Reason.TRUNCATED,
+                self.member,
+                verdicts.Verdict.MAY_HAVE_RUN,
+                detail=str(error),
             )
+            pending.reply_future.set_result(Reply(response))
 
     def _fail_pending(self, error: Exception) -> None:
         """Mark the stream closed and fail all outstanding requests.
@@ -242,12 +335,14 @@
         keepalive.set_options(sock)
 
 
-def _reply(head: stream_messages.ResponseHead, pieces: list[bytes]) -> Reply:
+def _reply(
+    head: stream_messages.ResponseHead, body: bytes | memoryview
+) -> Reply:
     return Reply(
         http_messages.Response(
             status=head.status,
             headers=head.headers,
-            body=iter(pieces),
+            body=held_body.Pieces(body),
             verdict=verdicts.Verdict(head.verdict),
             reason=verdicts.Reason(head.reason),
             # Streams don't carry it: callers get this name only in cells.
@@ -265,10 +360,12 @@
     """The streams of this process to its peers.
 
     ``on_status`` is called with each status received; it has to be set by
-    users of ``request_status``.  To be used on the event loop only.
+    users of ``request_status``.  ``budget`` is the memory for bodies.  To be
+    used on the event loop only.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, budget: body_budget.BodyBudget | None = None) -> None:
+        self.budget = budget or body_budget.BodyBudget()
         self.on_status: StatusCallback = lambda _status: None
         self.streams: dict[ids.MemberId, _PeerStream] = {}
         self.addresses: dict[ids.MemberId, cells.Address] = {}
@@ -284,15 +381,19 @@
         member: ids.MemberId,
         address: cells.Address,
         request: stream_messages.ForwardedRequest,
+        in_parts: bool = False,
     ) -> Reply:
         """Send a request and return the reply.
 
-        If the stream breaks, the reply contains a rejection.  Cancelling this
+        ``in_parts`` is set if the peer takes large bodies in parts.  If the
+        stream breaks, the reply contains a rejection.  Cancelling this
         call cancels the request at the peer.
         """
         stream = self._stream_to(member, address)
-        pending = _Pending(asyncio.get_running_loop().create_future())
-        stream.send(request, pending)
+        pending = _Pending(
+            request, in_parts, asyncio.get_running_loop().create_future()
+        )
+        stream.send(pending)
         try:
             return await pending.reply_future
         finally:
@@ -323,7 +424,10 @@
         ):
             self.forget(member)
             stream = _PeerStream(
-                member, address, lambda status: self.on_status(status)
+                member,
+                address,
+                lambda status: self.on_status(status),
+                self.budget,
             )
             self.streams[member] = stream
             self.addresses[member] = address
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_messages.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_messages.py
@@ -18,6 +18,25 @@
 """
 
 
+PART_BYTES: typing.Final = 64 * 1024
+"""Size of the parts of a large request body.
+
+Other requests are sent between them.
+"""
+
+
+class RequestPart(msgspec.Struct, frozen=True, tag="part", array_like=True):
+    """A part of the body of a request that follows, which begins at ``start``.
+
+    ``size`` is that of the whole body.
+    """
+
+    number: int
+    start: int
+    size: int
+    piece: bytes
+
+
 class ForwardedRequest(
     msgspec.Struct, frozen=True, tag="ask", array_like=True
 ):
@@ -29,6 +48,9 @@
     priority of the route, 0 the most urgent, and ``target_s`` its target
     latency.  ``late`` is set if the request was rejected before and its caller
     has retried after the target latency.
+
+    ``parts_size`` is 0, or the size of a body that was sent before in parts;
+    ``body`` is then empty.
     """
 
     number: int
@@ -47,6 +69,7 @@
     target_s: float
     late: bool
     body: bytes
+    parts_size: int = 0
 
 
 class Cancel(msgspec.Struct, frozen=True, tag="cancel", array_like=True):
@@ -106,6 +129,6 @@
 
 
 ClientMessage: typing.TypeAlias = (
-    ForwardedRequest | Cancel | Ping | StatusRequest
+    RequestPart | ForwardedRequest | Cancel | Ping | StatusRequest
 )
 ServerMessage: typing.TypeAlias = ResponseHead | BodyPiece | Ping | StatusReply
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_service.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_service.py
@@ -14,10 +14,12 @@
 
 import grpclib.const
 import grpclib.server
-from bronzepaddle import verdicts
+from bronzepaddle import held_body, http_messages, ids, logs, verdicts
+from bronzepaddle.load import body_budget
 
 from bronzepaddle_peers import (
     codec,
+    incoming_bodies,
     pacing,
     rpc_client,
     statuses,
@@ -25,6 +27,12 @@
     stream_messages,
 )
 
+MAX_QUEUED_PIECES: typing.Final = 8
+"""Pieces of responses that wait on a stream to be written.
+
+The rest of their bodies stays where it is held.
+"""
+
 Serve: typing.TypeAlias = collections.abc.Callable[
     [stream_messages.ForwardedRequest],
     collections.abc.Awaitable[stream_client.Reply],
@@ -61,8 +69,12 @@
     ``tasks`` serve the requests, by number.
     """
 
-    def __init__(self, stream: typing.Any) -> None:
+    def __init__(
+        self, stream: typing.Any, budget: body_budget.BodyBudget
+    ) -> None:
         self.stream = stream
+        self.bodies = incoming_bodies.IncomingBodies(budget)
+        self.room_for_pieces = asyncio.Semaphore(MAX_QUEUED_PIECES)
         self.tasks: dict[int, asyncio.Task[None]] = {}
         self.outgoing: asyncio.Queue[stream_messages.ServerMessage] = (
             asyncio.Queue()
@@ -79,6 +91,30 @@
                 self.is_writing = True
                 await self.stream.send_message(message)
                 self.is_writing = False
+                match message:
+                    case (
+                        stream_messages.ResponseHead()
+                        | stream_messages.BodyPiece()
+                    ):
+                        self.room_for_pieces.release()
+
+    async def put(
+        self,
+        message: stream_messages.ResponseHead | stream_messages.BodyPiece,
+    ) -> None:
+        """Queue a piece of a response once few pieces wait."""
+        await self.room_for_pieces.acquire()
+        self.outgoing.put_nowait(message)
+
+    def start(
+        self, number: int, serving: collections.abc.Coroutine[None, None, None]
+    ) -> None:
+        """Start to serve a request."""
+        task = asyncio.create_task(serving)
+        self.tasks[number] = task
+        task.add_done_callback(
+            functools.partial(_remove_task, self.tasks, number)
+        )
 
     def is_serving(self) -> bool:
         """Return whether a request runs or its response is being written."""
@@ -90,11 +126,20 @@
 
 
 class Service:
-    """The gRPC service that peers send their requests to."""
+    """The gRPC service that peers send their requests to.
+
+    ``budget`` is the memory for bodies.
+    """
 
-    def __init__(self, handlers: RequestHandlers, pacer: pacing.Pacer) -> None:
+    def __init__(
+        self,
+        handlers: RequestHandlers,
+        pacer: pacing.Pacer,
+        budget: body_budget.BodyBudget | None = None,
+    ) -> None:
         self.handlers = handlers
         self.pacer = pacer
+        self.budget = budget or body_budget.BodyBudget()
         self.exchanges: set[_Exchange] = set()
 
     def is_serving(self) -> bool:
@@ -136,22 +181,29 @@
 
     async def exchange(self, stream: typing.Any) -> None:
         """Serve the stream of one peer until it ends."""
-        exchange = _Exchange(stream)
+        exchange = _Exchange(stream, self.budget)
         outgoing, tasks = exchange.outgoing, exchange.tasks
         writing = asyncio.create_task(exchange.write())
         self.exchanges.add(exchange)
         try:
             while (message := await stream.recv_message()) is not None:
                 match message:
+                    case stream_messages.RequestPart(number=number):
+                        try:
+                            exchange.bodies.add(message)
+                        except held_body.NoRoomError as error:
+                            exchange.start(
+                                number,
+                                self._refuse(exchange, number, str(error)),
+                            )
                     case stream_messages.ForwardedRequest(number=number):
-                        task = asyncio.create_task(
-                            self._serve(message, outgoing)
-                        )
-                        tasks[number] = task
-                        task.add_done_callback(
-                            functools.partial(_remove_task, tasks, number)
-                        )
+                        request = exchange.bodies.complete(message)
+                        if request is not None:
+                            exchange.start(
+                                number, self._serve(exchange, request)
+                            )
                     case stream_messages.Cancel(number):
+                        exchange.bodies.drop(number)
                         if number in tasks:
                             tasks[number].cancel()
                     case stream_messages.Ping():
@@ -169,23 +221,53 @@
                 task.cancel()
 
     async def _serve(
-        self,
-        request: stream_messages.ForwardedRequest,
-        outgoing: "asyncio.Queue[stream_messages.ServerMessage]",
+        self, exchange: _Exchange, request: stream_messages.ForwardedRequest
     ) -> None:
         """Serve one request and queue its response for writing."""
-        with self.pacer.reserve(request.route) as reservation:
-            reply = await self.handlers.serve(request)
-            messages = list(_response_messages(request.number, reply))
-            unsent_bytes = sum(len(message.piece) for message in messages)
+        is_counted = isinstance(request.body, memoryview)
+        with (
+            self.pacer.reserve(request.route) as reservation,
+            self.budget.open() as held,
+        ):
+            decision = held.grow(0 if is_counted else len(request.body))
+            match decision:
+                case body_budget.Refused():
+                    await self._refuse(exchange, request.number, str(decision))
+                    return
+                case body_budget.Granted():
+                    reply = await self.handlers.serve(request)
+                case _:
+                    typing.assert_never(decision)
+            body = _whole_body(reply.response)
+            unsent_bytes = len(body)
             if reply.response.verdict is verdicts.Verdict.RAN:
                 self.pacer.record_size(request.route, unsent_bytes)
-            for message in messages:
+            for message in _response_messages(request.number, reply, body):
                 reservation.set_remaining(unsent_bytes)
                 await self.pacer.wait(len(message.piece))
-                outgoing.put_nowait(message)
+                await exchange.put(message)
                 unsent_bytes -= len(message.piece)
 
+    async def _refuse(
+        self, exchange: _Exchange, number: int, detail: str
+    ) -> None:
+        """Refuse a request for whose body there is no room."""
+        response = http_messages.rejection(
+            verdicts.Reason.MEMORY_FULL,
+            ids.MemberId(""),
+            retry_after_s=body_budget.RETRY_AFTER_S,
+            detail=detail,
+        )
+        logs.body_refused(
+            ids.RequestId(""),
+            response,
+            self.budget.held_bytes,
+            self.budget.limit_bytes,
+        )
+        reply = stream_client.Reply(response)
+        for message in _response_messages(number, reply, memoryview(b"")):
+            await exchange.put(message)
+
 
 def _remove_task(
     tasks: dict[int, asyncio.Task[None]],
@@ -195,14 +277,20 @@
     tasks.pop(number, None)
 
 
+def _whole_body(response: http_messages.Response) -> memoryview:
+    """Return the body of a response, without a copy of a large one."""
+    if isinstance(response.body, held_body.Pieces):
+        return response.body.body
+    return memoryview(b"".join(response.body))
+
+
 def _response_messages(
-    number: int, reply: stream_client.Reply
+    number: int, reply: stream_client.Reply, body: memoryview
 ) -> collections.abc.Iterator[
     stream_messages.ResponseHead | stream_messages.BodyPiece
 ]:
     """Yield the messages of a response, with its body cut into pieces."""
     response = reply.response
-    body = b"".join(response.body)
     size = stream_messages.PIECE_BYTES
     yield stream_messages.ResponseHead(
         number=number,
@@ -214,12 +302,14 @@
         detail=response.detail,
         outstanding=reply.outstanding,
         service_s=reply.service_s,
-        piece=body[:size],
+        piece=bytes(body[:size]),
         more=len(body) > size,
     )
     for start in range(size, len(body), size):
         yield stream_messages.BodyPiece(
-            number, body[start : start + size], start + size < len(body)
+            number,
+            bytes(body[start : start + size]),
+            start + size < len(body),
         )
 
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -3,9 +3,20 @@
 import asyncio
 import typing
 
-from bronzepaddle import cells, clocks, ids, verdicts
+import msgspec
+import pytest
+from bronzepaddle import (
+    cells,
+    clocks,
+    held_body,
+    http_messages,
+    ids,
+    verdicts,
+)
+from bronzepaddle.load import body_budget
 from bronzepaddle_node import listen_sockets, peer_table
 from bronzepaddle_peers import (
+    incoming_bodies,
     pacing,
     statuses,
     stream_client,
@@ -69,3 +80,128 @@
     )
     assert table.is_alive(peer, 5.5)
     assert peer.status_received_at == 0.0
+
+
+LARGE_BODY: typing.Final = bytes(range(256)) * 8192
+"""A body of two MiB, which is sent in many parts."""
+
+
+def forward_large_body(
+    service_budget: body_budget.BodyBudget,
+    client_budget: body_budget.BodyBudget,
+    in_parts: bool,
+) -> tuple[http_messages.Response, list[bytes]]:
+    """Send a request with a large body to a peer that returns it.
+
+    Returns the response and the bodies that were served.
+    """
+    served: list[bytes] = []
+
+    async def serve(
+        request: stream_messages.ForwardedRequest,
+    ) -> stream_client.Reply:
+        served.append(bytes(request.body))
+        return stream_client.Reply(
+            http_messages.Response(
+                200,
+                (),
+                held_body.Pieces(request.body),
+                verdicts.Verdict.RAN,
+                verdicts.Reason.SERVED,
+                ids.MemberId("peer"),
+            ),
+            has_load=True,
+        )
+
+    async def exchange() -> http_messages.Response:
+        handlers = stream_service.RequestHandlers(
+            serve,
+            typing.cast(stream_service.ConfigSource, None),
+            typing.cast(stream_service.OwnershipSource, None),
+            lambda: STATUS,
+        )
+        server = stream_service.server(
+            stream_service.Service(handlers, UNPACED, service_budget)
+        )
+        socket = listen_sockets.tcp_socket("127.0.0.1", 0)
+        await server.start(sock=socket)
+        client = stream_client.Client(client_budget)
+        host, port = socket.getsockname()
+        try:
+            async with asyncio.timeout(WAIT_S):
+                reply = await client.send(
+                    STATUS.sender,
+                    cells.Address(host, port),
+                    forwarded_request(LARGE_BODY),
+                    in_parts,
+                )
+            return reply.response
+        finally:
+            await client.close()
+            server.close()
+
+    return asyncio.run(exchange()), served
+
+
+def forwarded_request(body: bytes) -> stream_messages.ForwardedRequest:
+    """Return a request that is forwarded to a peer."""
+    return stream_messages.ForwardedRequest(
+        number=1,
+        request_id=ids.RequestId("r"),
+        caller_service=ids.ServiceName("shop"),
+        service=ids.ServiceName("shop"),
+        route="route",
+        run="run",
+        method="POST",
+        target="/a",
+        headers=(),
+        key=-1,
+        rank=0,
+        idempotent=False,
+        time_left_s=WAIT_S,
+        target_s=WAIT_S,
+        late=False,
+        body=body,
+    )
+
+
+@pytest.mark.parametrize("in_parts", [False, True])
+def test_large_body_reaches_a_peer_and_comes_back(in_parts: bool) -> None:
+    """A peer of an earlier release gets the body in one message."""
+    response, served = forward_large_body(
+        body_budget.BodyBudget(), body_budget.BodyBudget(), in_parts
+    )
+    assert served == [LARGE_BODY]
+    assert b"".join(response.body) == LARGE_BODY
+
+
+@pytest.mark.parametrize("in_parts", [False, True])
+def test_peer_without_room_does_not_run_a_request(in_parts: bool) -> None:
+    response, served = forward_large_body(
+        body_budget.BodyBudget(0), body_budget.BodyBudget(), in_parts
+    )
+    assert response.reason is verdicts.Reason.MEMORY_FULL
+    assert response.verdict is verdicts.Verdict.NOT_RUN
+    assert response.retry_after_s is not None
+    assert not served
+
+
+def test_response_without_room_may_have_run() -> None:
+    """Guards against a promise that a request has not run, which did."""
+    response, served = forward_large_body(
+        body_budget.BodyBudget(), body_budget.BodyBudget(0), True
+    )
+    assert response.verdict is verdicts.Verdict.MAY_HAVE_RUN
+    assert served == [LARGE_BODY]
+
+
+def test_request_whose_parts_are_missing_is_not_complete() -> None:
+    bodies = incoming_bodies.IncomingBodies(body_budget.BodyBudget())
+    bodies.add(stream_messages.RequestPart(1, 0, 10, b"12345"))
+    bodies.add(stream_messages.RequestPart(2, 5, 10, b"67890"))
+    for number in (1, 2):
+        announced = msgspec.structs.replace(
+            forwarded_request(b""), number=number, parts_size=10
+        )
+        assert bodies.complete(announced) is None
+    assert bodies.budget.held_bytes == 0
