Hold bodies within a budget, and close callers that hold threads

Many large bodies at once, bodies that stop short of their end and long responses that are read slowly ended or hung a process (see the red tests).

Read a caller's body only with a reservation of the budget, which is the memory of the VM ([process] memory-mb, 200 by default) less 100 MiB; refuse it otherwise with 503 memory-full, discard the rest and close. Responses of servers and peers take the same budget until they are written, in pieces of 64 KiB. Threads ask slow_callers before they wait for a caller: at most three quarters of them wait, and the caller that is furthest behind is closed, with 408 slow-caller if it was sending. Large bodies are no longer copied on their way.

Changed tests: the framing tests pass their budget to the application and convert the echoed body to bytes; the readings of the metrics test have the new fields.

--- a/packages/bronzepaddle-backend/src/bronzepaddle_backend/connections.py
+++ b/packages/bronzepaddle-backend/src/bronzepaddle_backend/connections.py
@@ -17,10 +17,19 @@
 import select
 import socket
 import threading
+import time
 import typing
 
 import urllib3
-from bronzepaddle import bounded_http, http_messages, ids, problems, verdicts
+from bronzepaddle import (
+    bounded_http,
+    held_body,
+    http_messages,
+    ids,
+    problems,
+    verdicts,
+)
+from bronzepaddle.load import body_budget
 
 CONNECT_TIMEOUT_S: typing.Final = 0.5
 
@@ -46,6 +55,14 @@
 A share of the memory of the smallest VM.
 """
 
+ROOM_WAIT_S: typing.Final = 2.0
+"""Time for which the reading of a response waits for room in the budget.
+
+Slow callers, whose responses take it, are closed meanwhile.
+"""
+
+ROOM_POLL_S: typing.Final = 0.05
+
 _CONNECTION_ERRORS: typing.Final = (
     urllib3.exceptions.HTTPError,
     http.client.HTTPException,
@@ -94,7 +111,7 @@
     method: str
     target: str
     headers: http_messages.Headers
-    body: bytes
+    body: bytes | memoryview
     deadline: float
     idempotent: bool
 
@@ -148,6 +165,7 @@
     """A thread-safe pool of connections to one run of a backend server.
 
     ``member`` is the id of this process, which its rejections contain.
+    ``budget`` is the memory for bodies.
     """
 
     def __init__(
@@ -157,12 +175,14 @@
         port: int,
         header_names: HeaderNames,
         time_now: collections.abc.Callable[[], float],
+        budget: body_budget.BodyBudget | None = None,
     ) -> None:
         self.member = member
         self.host = host
         self.port = port
         self.header_names = header_names
         self.time_now = time_now
+        self.budget = budget or body_budget.BodyBudget()
         self.lock = threading.Lock()
         self.idle: list[_IdleConnection] = []
         self.closed = False
@@ -278,18 +298,19 @@
         connection.request(
             request.method,
             request.target,
-            body=request.body or None,
+            # urllib3 accepts any buffer.
+            body=typing.cast(bytes, request.body) or None,
             headers=self._headers(request, left_s),
             preload_content=False,
             decode_content=False,
         )
         response = connection.getresponse()
         rejection = self._check_response(request, response)
-        body = self._read_body(response)
+        body = self._read_body(response, request.deadline)
         result = rejection or http_messages.Response(
             status=response.status,
             headers=http_messages.without_hop_by_hop(response.headers.items()),
-            body=iter((body,)),
+            body=held_body.Pieces(body),
             verdict=verdicts.Verdict.RAN,
             reason=verdicts.Reason.SERVED,
             server=self.member,
@@ -378,24 +399,59 @@
         is_marked = response.headers.get(self.header_names.not_run) is not None
         return is_marked or response.status == 421
 
-    def _read_body(self, response: urllib3.BaseHTTPResponse) -> bytes:
+    def _read_body(
+        self, response: urllib3.BaseHTTPResponse, deadline: float
+    ) -> bytes | memoryview:
         """Read a body to its end and return it.
 
         Raises ``InvalidResponseError`` if all bodies being read together
-        exceed ``MAX_BUFFERED_BYTES``.
+        exceed ``MAX_BUFFERED_BYTES``, or if the budget has no room.
         """
-        pieces: list[bytes] = []
-        length = 0
+        first = response.read(READ_SIZE_BYTES, decode_content=False)
+        # Reading on finds out whether the body is cut off.
+        piece = response.read(READ_SIZE_BYTES, decode_content=False)
+        if not piece:
+            # Small bodies are bounded by the number of threads.
+            return first
+        body = held_body.HeldBody(self.budget, bounded_http.MAX_BODY_BYTES)
+        length = self._announced_length(response)
+        self._wait_for_room(body, length, deadline)
+        self._wait_for_room(body, len(first), deadline)
+        body.append(first)
+        counted = 0
         try:
-            while piece := response.read(
-                READ_SIZE_BYTES, decode_content=False
-            ):
-                length += len(piece)
+            while piece:
+                counted += len(piece)
                 self._count_buffered(len(piece))
-                pieces.append(piece)
+                self._wait_for_room(body, body.size + len(piece), deadline)
+                body.append(piece)
+                piece = response.read(READ_SIZE_BYTES, decode_content=False)
         finally:
-            self._count_buffered(-length)
-        return b"".join(pieces)
+            self._count_buffered(-counted)
+        return body.received()
+
+    def _announced_length(self, response: urllib3.BaseHTTPResponse) -> int:
+        """Return the size of a body if its head tells one, else 0."""
+        value = response.headers.get("Content-Length", "")
+        length = int(value) if value.isdecimal() else 0
+        return min(length, bounded_http.MAX_BODY_BYTES)
+
+    def _wait_for_room(
+        self, body: held_body.HeldBody, size: int, deadline: float
+    ) -> None:
+        """Reserve room for a body of ``size`` bytes; wait if there is none.
+
+        Raises ``InvalidResponseError``.
+        """
+        ends_at = min(deadline, self.time_now() + ROOM_WAIT_S)
+        while True:
+            try:
+                body.reserve(size)
+                return
+            except held_body.NoRoomError as error:
+                if self.time_now() >= ends_at:
+                    raise InvalidResponseError(str(error)) from error
+            time.sleep(ROOM_POLL_S)
 
     def _count_buffered(self, count: int) -> None:
         """Add to the number of bytes being read.
--- a/packages/bronzepaddle-callers/src/bronzepaddle_callers/buffered_app.py
+++ b/packages/bronzepaddle-callers/src/bronzepaddle_callers/buffered_app.py
@@ -18,9 +18,17 @@
 
 import cherrypy
 import msgspec
-from bronzepaddle import http_messages, ids, problems, verdicts
-
-from bronzepaddle_callers import streaming_app
+from bronzepaddle import (
+    held_body,
+    http_messages,
+    ids,
+    logs,
+    problems,
+    verdicts,
+)
+from bronzepaddle.load import body_budget
+
+from bronzepaddle_callers import request_body, streaming_app
 
 SOCKET_KEY: typing.Final = "bronzepaddle.socket"
 """Key of the caller's socket in the WSGI environment."""
@@ -66,7 +74,7 @@
     headers: http_messages.Headers
     key: int
     time_left_s: float | None
-    body: bytes
+    body: bytes | memoryview
     caller_socket: socket.socket | None
 
 
@@ -80,6 +88,7 @@
     """CherryPy root that passes the requests for all paths to ``serve``.
 
     ``max_body_bytes`` returns the current limit on the size of a body.
+    ``budget`` is the memory for bodies.
     """
 
     def __init__(
@@ -87,10 +96,12 @@
         serve: Serve,
         header_names: CallerHeaderNames,
         max_body_bytes: collections.abc.Callable[[], int],
+        budget: body_budget.BodyBudget | None = None,
     ) -> None:
         self.serve = serve
         self.header_names = header_names
         self.max_body_bytes = max_body_bytes
+        self.budget = budget or body_budget.BodyBudget()
 
     @streaming_app.exposed
     def default(
@@ -113,19 +124,47 @@
                 detail=str(error),
             )
             return self._render(ids.RequestId(""), response)
-        except BodyTooLargeError as error:
+        except request_body.BodyTooLargeError as error:
             response = http_messages.rejection(
                 verdicts.Reason.TOO_LARGE, ids.MemberId(""), detail=str(error)
             )
             cherrypy.serving.response.headers["Connection"] = "close"
             return self._render(ids.RequestId(""), response)
+        except held_body.NoRoomError as error:
+            return self._refuse_body(verdicts.Reason.MEMORY_FULL, str(error))
+        except TimeoutError:
+            return self._refuse_body(
+                verdicts.Reason.SLOW_CALLER, "the request body came too slowly"
+            )
         return self._render(request.request_id, self.serve(request))
 
+    def _refuse_body(
+        self, reason: verdicts.Reason, detail: str
+    ) -> collections.abc.Iterable[bytes]:
+        """Refuse a request whose body was not read, and close after it."""
+        environ = cherrypy.serving.request.wsgi_environ
+        id_header = self.header_names.request_id.upper().replace("-", "_")
+        request_id = ids.RequestId(environ.get(f"HTTP_{id_header}", ""))
+        response = http_messages.rejection(
+            reason,
+            ids.MemberId(""),
+            retry_after_s=body_budget.RETRY_AFTER_S,
+            detail=detail,
+        )
+        logs.body_refused(
+            request_id,
+            response,
+            self.budget.held_bytes,
+            self.budget.limit_bytes,
+        )
+        request_body.discard(environ["wsgi.input"], environ[SOCKET_KEY])
+        cherrypy.serving.response.headers["Connection"] = "close"
+        return self._render(request_id, response)
+
     def _read_request(self) -> BufferedRequest:
         """Read the current request of this thread completely.
 
-        Raises ``BadRequestError``, ``IncompleteBodyError`` or
-        ``BodyTooLargeError``.
+        Raises ``BadRequestError`` and the errors of ``request_body.read``.
         """
         request = cherrypy.serving.request
         environ = request.wsgi_environ
@@ -167,30 +206,14 @@
             caller_socket=environ.get(SOCKET_KEY),
         )
 
-    def _read_body(self, environ: dict[str, typing.Any]) -> bytes:
-        """Return the whole body.
-
-        Raises ``BodyTooLargeError`` if it is larger than the limit, and
-        ``IncompleteBodyError``.
-        """
+    def _read_body(self, environ: dict[str, typing.Any]) -> bytes | memoryview:
+        """Return the whole body; raises the errors of ``request_body``."""
         length = streaming_app.body_length(environ)
         if length == 0:
             return b""
-        max_bytes = self.max_body_bytes()
-        if length is not None and length > max_bytes:
-            raise BodyTooLargeError(
-                f"the body may have at most {max_bytes} bytes"
-            )
-        chunks = []
-        received_bytes = 0
-        for chunk in streaming_app.body_chunks(environ["wsgi.input"], length):
-            received_bytes += len(chunk)
-            if received_bytes > max_bytes:
-                raise BodyTooLargeError(
-                    f"the body may have at most {max_bytes} bytes"
-                )
-            chunks.append(chunk)
-        return b"".join(chunks)
+        return request_body.read(
+            environ["wsgi.input"], length, self.max_body_bytes(), self.budget
+        )
 
     def _render(
         self, request_id: ids.RequestId, response: http_messages.Response
@@ -218,25 +241,33 @@
                 f"{response.retry_after_s:.3f}"
             )
         if response.reason is verdicts.Reason.SERVED:
-            body = b"".join(response.body)
+            pieces = _with_size(response.body)
         else:
             cherrypy_response.headers["Content-Type"] = problems.MEDIA_TYPE
-            body = msgspec.json.encode(
-                problems.problem(
-                    response.reason,
-                    response.verdict,
-                    request_id,
-                    response.detail,
+            pieces = held_body.Pieces(
+                msgspec.json.encode(
+                    problems.problem(
+                        response.reason,
+                        response.verdict,
+                        request_id,
+                        response.detail,
+                    )
                 )
             )
-        cherrypy_response.headers["Content-Length"] = str(len(body))
+        cherrypy_response.headers["Content-Length"] = str(pieces.size)
         if cherrypy.serving.request.method == "HEAD":
             return []
-        return [body]
+        if pieces.size > http_messages.CHUNK_BYTES:
+            # CherryPy would copy the pieces into one body.
+            cherrypy_response.stream = True
+        return pieces
 
 
-class BodyTooLargeError(Exception):
-    """The body of a request is larger than the limit."""
+def _with_size(body: collections.abc.Iterator[bytes]) -> held_body.Pieces:
+    """Return the body of a response with its size."""
+    if isinstance(body, held_body.Pieces):
+        return body
+    return held_body.Pieces(b"".join(body))
 
 
 def _parse_key(value: str) -> int:
--- a/packages/bronzepaddle-callers/src/bronzepaddle_callers/server.py
+++ b/packages/bronzepaddle-callers/src/bronzepaddle_callers/server.py
@@ -11,16 +11,19 @@
 import select
 import socket
 import threading
+import time
 import typing
 
 import cheroot.server
 import cheroot.wsgi
 import cherrypy
 from bronzepaddle import options
+from bronzepaddle.load import slow_callers
 
 from bronzepaddle_callers import (
     buffered_app,
     chunked_body,
+    guarded_socket,
     streaming_app,
     unparsed_request,
 )
@@ -105,8 +108,22 @@
 
 
 class _Connection(cheroot.server.HTTPConnection):
+    """A connection whose threads don't wait longer than allowed."""
+
     RequestHandlerClass = _Request
 
+    def __init__(
+        self,
+        server: "BackgroundServer",
+        accepted: socket.socket,
+        makefile: typing.Any,
+    ) -> None:
+        super().__init__(
+            server,
+            guarded_socket.guard(accepted, server.waiting_threads),
+            makefile,
+        )
+
 
 class _Counter:
     """Counts the threads that are inside of its ``with`` block."""
@@ -139,6 +156,9 @@
     def __init__(self, *args: typing.Any, **kwargs: typing.Any) -> None:
         super().__init__(*args, **kwargs)
         self.requests_in_progress = _Counter()
+        self.waiting_threads = slow_callers.WaitingThreads(
+            self.requests.min, self.timeout
+        )
 
     def process_conn(self, conn: typing.Any) -> None:
         """Pass a connection to a worker thread once it has a request.
@@ -150,6 +170,7 @@
         if is_new and not _is_readable(conn.socket):
             self.put_conn(conn)
         else:
+            conn.socket.transfer.begin_request()
             super().process_conn(conn)
 
     def start_threads(self) -> None:
@@ -242,6 +263,21 @@
         """Return the number of requests without a completely sent response."""
         return self.cheroot_server.requests_in_progress.count
 
+    def closed_callers(self) -> int:
+        """Return the number of slow callers that were closed."""
+        return self.cheroot_server.waiting_threads.closed_callers
+
+    def close_stalled_callers(self) -> None:
+        """Close the callers that make no progress: memory is short."""
+        waiting_threads = self.cheroot_server.waiting_threads
+        for transfer in waiting_threads.stalled(time.monotonic()):
+            transfer.close()
+
+    def set_idle_timeout(self, idle_timeout_s: float) -> None:
+        """Set the time that a connection may be idle, or a caller behind."""
+        self.cheroot_server.timeout = idle_timeout_s
+        self.cheroot_server.waiting_threads.max_lag_s = idle_timeout_s
+
     def disable_keep_alive(self) -> None:
         """From now on, close each connection after its next response."""
         self.cheroot_server.closing = True
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
@@ -13,7 +13,7 @@
 import typing
 
 from bronzepaddle import clocks, http_messages, ids, logs, suspects, verdicts
-from bronzepaddle.load import key_load, server_queue
+from bronzepaddle.load import body_budget, key_load, server_queue
 from bronzepaddle_backend import connections, server_tracker
 from bronzepaddle_peers import pacing, stream_client, stream_messages
 
@@ -85,8 +85,10 @@
         pacer: pacing.Pacer,
         clock: clocks.Clock,
         on_server_lost: collections.abc.Callable[[], None],
+        budget: body_budget.BodyBudget | None = None,
     ) -> None:
         self.name = name
+        self.body_budget = budget or body_budget.BodyBudget()
         self.crash_detector = detector
         self.on_server_lost = on_server_lost
         self.header_names = header_names
@@ -128,6 +130,7 @@
             announcement.port,
             self.header_names,
             self.clock.now,
+            self.body_budget,
         )
         self.server_run = ServerRun(
             announcement,
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -29,7 +29,7 @@
     sidecar_options,
     status,
 )
-from bronzepaddle.load import retries
+from bronzepaddle.load import body_budget, retries
 from bronzepaddle_backend import key_grants, key_reports, server_tracker
 from bronzepaddle_callers import buffered_app, server
 from bronzepaddle_peers import (
@@ -126,6 +126,9 @@
             self.clock, lambda: self.broadcaster.broadcast_soon()
         )
         self.pacer = pacing.Pacer(settings.link_mbps, self.clock)
+        self.body_budget = body_budget.BodyBudget(
+            body_budget.budget_bytes(settings.memory_mb)
+        )
         self.local_backend = local_backend.LocalBackend(
             settings.name,
             header_names.SERVER_HEADERS,
@@ -136,9 +139,10 @@
             self.pacer,
             self.clock,
             self._on_server_lost,
+            self.body_budget,
         )
         self.command_threads = grant_commands.CommandThreads()
-        self.peer_streams = stream_client.Client()
+        self.peer_streams = stream_client.Client(self.body_budget)
         self.retry_budgets = retries.RetryBudgets(
             settings.retry_share * DIVIDED_RETRY_SHARE, MIN_RETRY_BUDGET_LIMIT
         )
@@ -268,6 +272,7 @@
                 self.broadcaster.current_status,
             ),
             self.pacer,
+            self.body_budget,
         )
         self.grpc_server = stream_service.server(self.peer_service)
         endpoint = self.settings.peers
@@ -284,11 +289,15 @@
         settings = self.settings
         self.caller_server = self._http_server(
             buffered_app.BufferedApp(
-                self._serve, header_names.CALLER_HEADERS, self._max_body_bytes
+                self._serve,
+                header_names.CALLER_HEADERS,
+                self._max_body_bytes,
+                self.body_budget,
             ),
             settings.callers,
             settings.threads,
         )
+        self.body_budget.on_shortage = self.caller_server.close_stalled_callers
         self.control_server = self._http_server(
             registry.Registry(self._on_announcement, self._on_leave),
             settings.control,
@@ -456,7 +465,7 @@
 
     def _on_table(self, table: route_table.Table) -> None:
         """Apply a new table's idle timeout and broadcast its version."""
-        self.caller_server.cheroot_server.timeout = table.limits.idle_timeout_s
+        self.caller_server.set_idle_timeout(table.limits.idle_timeout_s)
         self.broadcaster.broadcast_soon()
 
     def _build_status(self, sequence: int) -> statuses.Status:
@@ -517,6 +526,7 @@
             read=self.reconciler.view.last_read,
             suspects=self.crash_detector.recent_changes(),
             affected_members=self.reconciler.view.affected_members(),
+            takes_parts=True,
         )
 
     def _runtime_snapshot(self) -> runtime_stats.Snapshot:
@@ -560,6 +570,10 @@
             peers_alive=len(status_ages_s),
             oldest_status_s=max(status_ages_s, default=0.0),
             lines_dropped=dropped,
+            body_bytes_held=self.body_budget.held_bytes,
+            body_bytes_limit=self.body_budget.limit_bytes,
+            bodies_refused=self.body_budget.refusals,
+            slow_callers_closed=self.caller_server.closed_callers(),
             loop_lag_s=self.runtime_stats.lag_s,
             snapshot=self._runtime_snapshot(),
         )
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar_metrics.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar_metrics.py
@@ -52,6 +52,10 @@
 
     ``oldest_status_s`` is the largest age of the last status of a live peer.
     ``lines_dropped`` counts dropped log lines by message type.
+    ``body_bytes_held`` are the bytes of all bodies in memory, of at most
+    ``body_bytes_limit``; ``bodies_refused`` counts the bodies for which there
+    was no room, ``slow_callers_closed`` the callers that were closed because
+    they sent or read too slowly.
     ``loop_lag_s`` is the longest delay of the event loop since the last log
     line of ``runtime_stats``.
     """
@@ -71,6 +75,10 @@
     lines_dropped: collections.abc.Mapping[str, int]
     loop_lag_s: float
     snapshot: runtime_stats.Snapshot
+    body_bytes_held: int = 0
+    body_bytes_limit: int = 0
+    bodies_refused: int = 0
+    slow_callers_closed: int = 0
 
 
 Read: typing.TypeAlias = collections.abc.Callable[[], Readings]
@@ -226,6 +234,8 @@
     ),
     ("bronzepaddle.peers.alive", "", _observe_field("peers_alive")),
     ("bronzepaddle.status.oldest", "s", _observe_field("oldest_status_s")),
+    ("bronzepaddle.bodies.held", "By", _observe_field("body_bytes_held")),
+    ("bronzepaddle.bodies.limit", "By", _observe_field("body_bytes_limit")),
     ("bronzepaddle.loop.lag", "s", _observe_field("loop_lag_s")),
     ("bronzepaddle.callers.unassigned", "", _observe_unassigned),
     ("bronzepaddle.config.unconfirmed", "s", _observe_unconfirmed),
@@ -237,6 +247,8 @@
     ("bronzepaddle.ranges.moved", _observe_field("ranges_moved")),
     ("bronzepaddle.store.calls", _observe_store_calls),
     ("bronzepaddle.log.dropped", _observe_dropped_lines),
+    ("bronzepaddle.bodies.refused", _observe_field("bodies_refused")),
+    ("bronzepaddle.callers.slow", _observe_field("slow_callers_closed")),
     ("bronzepaddle.datagrams", _observe_datagrams),
     ("bronzepaddle.datagram.bytes", _observe_datagram_bytes),
 )
--- a/packages/bronzepaddle/src/bronzepaddle/sidecar_options.py
+++ b/packages/bronzepaddle/src/bronzepaddle/sidecar_options.py
@@ -17,12 +17,20 @@
 import returns.result
 
 from bronzepaddle import ids, log_writer, options, store_leases
+from bronzepaddle.load import body_budget
 
 SIDECAR_FORM: typing.Final = "objects"
 """Value of ``[platform] form`` in the settings of a sidecar."""
 
 SECTIONS: typing.Final = {
-    "process": ("name", "zone", "service", "first-start", "grace-s"),
+    "process": (
+        "name",
+        "zone",
+        "service",
+        "first-start",
+        "grace-s",
+        "memory-mb",
+    ),
     "callers": ("listen", "threads"),
     "ready": ("listen",),
     "control": ("listen",),
@@ -35,6 +43,12 @@
     "log": ("lines-per-s", "burst"),
 }
 
+MIN_MEMORY_MB: typing.Final = 64
+"""Least memory of a VM in MiB; a process needs most of it for itself."""
+
+MAX_MEMORY_MB: typing.Final = 1024 * 1024
+"""Most memory of a VM in MiB."""
+
 TRUE: typing.Final = "true"
 """Value of a setting that is on; with any other value it is off."""
 
@@ -60,11 +74,12 @@
 
     ``first_start`` is set when the whole system starts for the first time.
     ``grace_s`` is the time from the request to stop until the process must
-    have ended.  ``status_s`` is the interval of the statuses that are sent to
-    peers, ``announce_s`` that of the backend server's announcements.  All
-    processes together may make ``retry_slack`` retries beyond the share
-    ``retry_share`` of their requests.  ``link_mbps`` is the bandwidth of the
-    VM's network link, None if unknown.
+    have ended.  ``memory_mb`` is the memory of the VM for this process in MiB,
+    from which the budget for bodies is derived.  ``status_s`` is the interval
+    of the statuses that are sent to peers, ``announce_s`` that of the backend
+    server's announcements.  All processes together may make ``retry_slack``
+    retries beyond the share ``retry_share`` of their requests.  ``link_mbps``
+    is the bandwidth of the VM's network link, None if unknown.
     """
 
     name: ids.MemberId
@@ -88,6 +103,7 @@
     max_hold_s: float
     retry_share: float
     retry_slack: float
+    memory_mb: int = body_budget.DEFAULT_MEMORY_MB
     metrics: options.Endpoint | None = None
     log: log_writer.Bounds = dataclasses.field(
         default_factory=log_writer.Bounds
@@ -161,6 +177,13 @@
             / 1000,
             retry_share=self.number("retries", "share", 0.1, 0.0, 10.0),
             retry_slack=self.number("retries", "slack", 20.0, 0.0, 1e6),
+            memory_mb=self.integer(
+                "process",
+                "memory-mb",
+                body_budget.DEFAULT_MEMORY_MB,
+                MIN_MEMORY_MB,
+                MAX_MEMORY_MB,
+            ),
             metrics=(
                 self.endpoint("metrics")
                 if self.parser.has_section("metrics")
--- a/tests/integration/test_request_framing.py
+++ b/tests/integration/test_request_framing.py
@@ -9,10 +9,12 @@
 
 import pytest
 from bronzepaddle import http_messages, ids, options, verdicts
+from bronzepaddle.load import body_budget
 from bronzepaddle_callers import buffered_app, server
 from bronzepaddle_platform import header_names
 
 MAX_BODY_BYTES: typing.Final = 1000
+LARGE_BODY_BYTES: typing.Final = 1_000_000
 THREADS: typing.Final = 2
 MAX_HEADER_BYTES: typing.Final = 8192
 IDLE_TIMEOUT_S: typing.Final = 60.0
@@ -35,10 +37,15 @@
     """
 
     def __init__(self) -> None:
+        self.max_body_bytes = MAX_BODY_BYTES
+        self.budget = body_budget.BodyBudget()
         self.requests: list[buffered_app.BufferedRequest] = []
         self.http_server = server.HttpServer(
             buffered_app.BufferedApp(
-                self.serve, header_names.CALLER_HEADERS, lambda: MAX_BODY_BYTES
+                self.serve,
+                header_names.CALLER_HEADERS,
+                lambda: self.max_body_bytes,
+                self.budget,
             ),
             options.Endpoint("127.0.0.1", 0),
             server.Limits(THREADS, MAX_HEADER_BYTES, IDLE_TIMEOUT_S, DRAIN_S),
@@ -53,7 +60,7 @@
         return http_messages.Response(
             200,
             (),
-            iter((request.body,)),
+            iter((bytes(request.body),)),
             verdicts.Verdict.RAN,
             verdicts.Reason.SERVED,
             ids.MemberId("me"),
@@ -254,3 +261,48 @@
         name, _, value = header.decode().strip().partition(": ")
         received = [(name.lower(), value) for name, value in request.headers]
         assert (name.lower(), value) in received
+
+
+def test_requests_sent_ahead_are_answered_in_order(echo: Echo) -> None:
+    """Each request is sent before the response to the one before it."""
+    bodies = [b"one", b"two", b"three", b"four"]
+    with echo.connect() as caller, caller.makefile("rb") as file:
+        caller.sendall(
+            b"".join(
+                request_bytes(b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body))
+                for body in bodies
+            )
+        )
+        assert [read_response(file) for _ in bodies] == [
+            (200, body) for body in bodies
+        ]
+
+
+def test_request_behind_a_closing_response_is_not_read(echo: Echo) -> None:
+    """Guards against a request that is run although its caller sends it again.
+
+    The response to the first request closes the connection.
+    """
+    with echo.connect() as caller, caller.makefile("rb") as file:
+        caller.sendall(
+            request_bytes(b"2\r\nhi\r\n0\r\n\r\n", b"Connection: close\r\n")
+            + SMUGGLED_REQUEST
+        )
+        assert read_response(file) == (200, b"hi")
+        assert ended(file)
+    assert [request.target for request in echo.requests] == ["/a"]
+
+
+def test_request_behind_a_refused_body_is_not_read(echo: Echo) -> None:
+    """The body of the first request finds no room; the second is no part."""
+    echo.budget.limit_bytes = 0
+    echo.max_body_bytes = LARGE_BODY_BYTES
+    body = b"x" * LARGE_BODY_BYTES
+    with echo.connect() as caller, caller.makefile("rb") as file:
+        caller.sendall(
+            b"POST /a HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\n"
+            b"Content-Length: %d\r\n\r\n" % len(body) + body + SMUGGLED_REQUEST
+        )
+        assert read_response(file)[0] == 503
+        assert ended(file)
+    assert not echo.requests
--- a/tests/test_sidecar_metrics.py
+++ b/tests/test_sidecar_metrics.py
@@ -25,6 +25,10 @@
     peers_alive=6,
     oldest_status_s=0.2,
     lines_dropped={"served": 3},
+    body_bytes_held=70_000,
+    body_bytes_limit=100_000,
+    bodies_refused=2,
+    slow_callers_closed=1,
     loop_lag_s=0.03,
     snapshot=runtime_stats.Snapshot(
         runtime_stats.DatagramStats(7, 700, 8, 800, 9),
--- a/tests/test_sidecar_options.py
+++ b/tests/test_sidecar_options.py
@@ -54,6 +54,7 @@
     assert settings is not None
     assert settings.first_start
     assert settings.callers.port == 1
+    assert settings.memory_mb == 200
     assert sidecar_options.is_sidecar_file(tmp_path / "node.ini")
 
 
@@ -65,6 +66,8 @@
         ("share = 0.2", "share = much", "[retries] share"),
         ("share = 0.2", "shares = 0.2", "[retries] shares"),
         ("[retries]", "[tries]", "[tries]"),
+        ("zone = a", "zone = a\nmemory-mb = 63", "[process] memory-mb"),
+        ("zone = a", "zone = a\nmemory-mb = lots", "[process] memory-mb"),
     ],
 )
 def test_errors_name_the_section_and_the_key(
