Tell the load with a refusal for lack of memory

A peer that refuses a request for its body told no load, which the sender reads as an idle server: it would have drawn further requests.

The refusal carries the load of the process, and the log line the request's id where it is known. A body that came too slowly isn't discarded any more; its connection is closed at once.

--- a/packages/bronzepaddle-callers/src/bronzepaddle_callers/buffered_app.py
+++ b/packages/bronzepaddle-callers/src/bronzepaddle_callers/buffered_app.py
@@ -157,7 +157,8 @@
             self.budget.held_bytes,
             self.budget.limit_bytes,
         )
-        request_body.discard(environ["wsgi.input"], environ[SOCKET_KEY])
+        if reason is verdicts.Reason.MEMORY_FULL:
+            request_body.discard(environ["wsgi.input"], environ[SOCKET_KEY])
         cherrypy.serving.response.headers["Connection"] = "close"
         return self._render(request_id, response)
 
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
@@ -211,6 +211,12 @@
                 response,
                 self.queue_state(),
             )
+        return self.add_load(response)
+
+    def add_load(
+        self, response: http_messages.Response
+    ) -> stream_client.Reply:
+        """Return a reply with the load of this process."""
         return stream_client.Reply(
             response, self.outstanding(), self.mean_service_s(), True
         )
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -270,6 +270,7 @@
                 self.configuration.on_pull,
                 self.reconciler.view.on_pull,
                 self.broadcaster.current_status,
+                self.local_backend.add_load,
             ),
             self.pacer,
             self.body_budget,
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_service.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_service.py
@@ -39,6 +39,11 @@
 ]
 """Serves one request; cancelled if its response is no longer needed."""
 
+AddLoad: typing.TypeAlias = collections.abc.Callable[
+    [http_messages.Response], stream_client.Reply
+]
+"""Returns a reply with the current load of this process."""
+
 StatusSource: typing.TypeAlias = collections.abc.Callable[[], statuses.Status]
 """Returns the current status of this process."""
 
@@ -55,12 +60,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class RequestHandlers:
-    """Handlers of the requests, status requests and pull calls of peers."""
+    """Handlers of the requests, status requests and pull calls of peers.
+
+    ``add_load`` is used for requests that are refused for their bodies.
+    """
 
     serve: Serve
     config: ConfigSource
     ownership: OwnershipSource
     current_status: StatusSource
+    add_load: AddLoad = stream_client.Reply
 
 
 class _Exchange:
@@ -194,7 +203,12 @@
                         except held_body.NoRoomError as error:
                             exchange.start(
                                 number,
-                                self._refuse(exchange, number, str(error)),
+                                self._refuse(
+                                    exchange,
+                                    number,
+                                    ids.RequestId(""),
+                                    str(error),
+                                ),
                             )
                     case stream_messages.ForwardedRequest(number=number):
                         request = exchange.bodies.complete(message)
@@ -232,7 +246,12 @@
             decision = held.grow(0 if is_counted else len(request.body))
             match decision:
                 case body_budget.Refused():
-                    await self._refuse(exchange, request.number, str(decision))
+                    await self._refuse(
+                        exchange,
+                        request.number,
+                        request.request_id,
+                        str(decision),
+                    )
                     return
                 case body_budget.Granted():
                     reply = await self.handlers.serve(request)
@@ -249,9 +268,16 @@
                 unsent_bytes -= len(message.piece)
 
     async def _refuse(
-        self, exchange: _Exchange, number: int, detail: str
+        self,
+        exchange: _Exchange,
+        number: int,
+        request_id: ids.RequestId,
+        detail: str,
     ) -> None:
-        """Refuse a request for whose body there is no room."""
+        """Refuse a request for whose body there is no room.
+
+        ``request_id`` is empty while only parts of it have come.
+        """
         response = http_messages.rejection(
             verdicts.Reason.MEMORY_FULL,
             ids.MemberId(""),
@@ -259,12 +285,12 @@
             detail=detail,
         )
         logs.body_refused(
-            ids.RequestId(""),
+            request_id,
             response,
             self.budget.held_bytes,
             self.budget.limit_bytes,
         )
-        reply = stream_client.Reply(response)
+        reply = self.handlers.add_load(response)
         for message in _response_messages(number, reply, memoryview(b"")):
             await exchange.put(message)
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -86,14 +86,30 @@
 """A body of two MiB, which is sent in many parts."""
 
 
+OUTSTANDING: typing.Final = 7
+SERVICE_S: typing.Final = 0.5
+
+
 def forward_large_body(
     service_budget: body_budget.BodyBudget,
     client_budget: body_budget.BodyBudget,
     in_parts: bool,
 ) -> tuple[http_messages.Response, list[bytes]]:
+    """Return the response to ``exchange_large_body`` and the bodies served."""
+    reply, served = exchange_large_body(
+        service_budget, client_budget, in_parts
+    )
+    return reply.response, served
+
+
+def exchange_large_body(
+    service_budget: body_budget.BodyBudget,
+    client_budget: body_budget.BodyBudget,
+    in_parts: bool,
+) -> tuple[stream_client.Reply, list[bytes]]:
     """Send a request with a large body to a peer that returns it.
 
-    Returns the response and the bodies that were served.
+    Returns the reply and the bodies that were served.
     """
     served: list[bytes] = []
 
@@ -113,12 +129,15 @@
             has_load=True,
         )
 
-    async def exchange() -> http_messages.Response:
+    async def exchange() -> stream_client.Reply:
         handlers = stream_service.RequestHandlers(
             serve,
             typing.cast(stream_service.ConfigSource, None),
             typing.cast(stream_service.OwnershipSource, None),
             lambda: STATUS,
+            lambda response: stream_client.Reply(
+                response, OUTSTANDING, SERVICE_S, True
+            ),
         )
         server = stream_service.server(
             stream_service.Service(handlers, UNPACED, service_budget)
@@ -129,13 +148,12 @@
         host, port = socket.getsockname()
         try:
             async with asyncio.timeout(WAIT_S):
-                reply = await client.send(
+                return await client.send(
                     STATUS.sender,
                     cells.Address(host, port),
                     forwarded_request(LARGE_BODY),
                     in_parts,
                 )
-            return reply.response
         finally:
             await client.close()
             server.close()
@@ -186,6 +204,14 @@
     assert not served
 
 
+def test_refusal_by_a_peer_without_room_carries_its_load() -> None:
+    """Guards against a peer that is taken for idle because it has no room."""
+    reply = exchange_large_body(
+        body_budget.BodyBudget(0), body_budget.BodyBudget(), True
+    )[0]
+    assert (reply.outstanding, reply.service_s) == (OUTSTANDING, SERVICE_S)
+
+
 def test_response_without_room_may_have_run() -> None:
     """Guards against a promise that a request has not run, which did."""
     response, served = forward_large_body(
