--- a/bench/logcost.py
+++ b/bench/logcost.py
@@ -55,6 +55,10 @@
     ),
     starts_per_s=0.0,
     start_rejections=0,
+    body_bytes_held=0,
+    body_bytes_limit=0,
+    bodies_refused=0,
+    slow_callers_closed=0,
 )
 
 
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
@@ -14,6 +14,7 @@
 
 from bronzepaddle import clocks, http_messages, ids, logs, suspects, verdicts
 from bronzepaddle.load import (
+    body_budget,
     cold_servers,
     expected_cost,
     key_load,
@@ -52,11 +53,13 @@
         clock: clocks.Clock,
         on_server_lost: collections.abc.Callable[[], None],
         costs: expected_cost.CostModel,
+        budget: body_budget.BodyBudget | None = None,
     ) -> None:
         self.name = name
         # Kept from one run of the server to the next: the costs of requests
         # in relation to each other stay the same.
         self.costs = costs
+        self.body_budget = budget or body_budget.BodyBudget()
         self.crash_detector = detector
         self.on_server_lost = on_server_lost
         self.header_names = header_names
@@ -106,6 +109,7 @@
             announcement.port,
             self.header_names,
             self.clock.now,
+            self.body_budget,
         )
         self.server_run = server_runs.ServerRun(
             announcement,
@@ -276,6 +280,12 @@
                 response,
                 self.queue_state(),
             )
+        return self.add_load(response, run_s)
+
+    def add_load(
+        self, response: http_messages.Response, run_s: float = 0.0
+    ) -> stream_client.Reply:
+        """Return a reply with the load of this process."""
         return stream_client.Reply(
             response,
             outstanding=self.outstanding(),
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
@@ -502,7 +502,8 @@
             time_left_s=time_left_s,
             target_s=route.target_s,
             late=progress.late,
-            body=request.body,
+            # Streams and servers are sent any buffer.
+            body=typing.cast(bytes, request.body),
             relative_cost=progress.cost.relative,
         )
 
@@ -534,7 +535,10 @@
             else:
                 # Knows at the deadline whether the request was written.
                 reply = await self.peer_streams.send(
-                    member, peer.status.address, forwarded
+                    member,
+                    peer.status.address,
+                    forwarded,
+                    peer.status.takes_parts,
                 )
         except TimeoutError:
             timed_out = True
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/statuses.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/statuses.py
@@ -137,6 +137,8 @@
     ``store_era`` is the era of the store to which ``ownership_version``
     belongs.  ``evacuations`` are the zones whose servers must get no requests,
     as last read, None if the sender doesn't know them.
+
+    ``takes_parts`` is set if the sender takes large request bodies in parts.
     """
 
     sender: ids.MemberId
@@ -167,6 +169,7 @@
     starts_per_s: float = 0.0
     store_era: ids.StoreEra = ids.FIRST_ERA
     evacuations: Evacuations | None = None
+    takes_parts: bool = False
 
     @property
     def store_version(self) -> store_versions.StoreVersion:
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_messages.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_messages.py
@@ -26,6 +26,24 @@
 ]
 """The status of a final response; a message with another one is invalid."""
 
+PART_BYTES: typing.Final = 64 * 1024
+"""Size of the parts of a large request body.
+
+Other requests are sent between them.
+"""
+
+
+class RequestPart(msgspec.Struct, frozen=True, tag="part", array_like=True):
+    """A part of the body of a request that follows, which begins at ``start``.
+
+    ``size`` is that of the whole body.
+    """
+
+    number: int
+    start: int
+    size: int
+    piece: bytes
+
 
 class ForwardedRequest(
     msgspec.Struct, frozen=True, tag="ask", array_like=True
@@ -39,6 +57,9 @@
     latency.  ``late`` is set if the request was rejected before and its caller
     has retried after the target latency.  ``relative_cost`` is the expected
     cost of the request as a multiple of the usual one of its service.
+
+    ``parts_size`` is 0, or the size of a body that was sent before in parts;
+    ``body`` is then empty.
     """
 
     number: int
@@ -58,6 +79,7 @@
     late: bool
     body: bytes
     relative_cost: float = 1.0
+    parts_size: int = 0
 
 
 class Cancel(msgspec.Struct, frozen=True, tag="cancel", array_like=True):
@@ -121,6 +143,6 @@
 
 
 ClientMessage: typing.TypeAlias = (
-    ForwardedRequest | Cancel | Ping | StatusRequest
+    RequestPart | ForwardedRequest | Cancel | Ping | StatusRequest
 )
 ServerMessage: typing.TypeAlias = ResponseHead | BodyPiece | Ping | StatusReply
--- a/tests/test_relative_costs.py
+++ b/tests/test_relative_costs.py
@@ -65,12 +65,14 @@
         ids.MemberId("b"),
     )
     sent = stream_client.Reply(response, 4, 0.1, True, 0.7, 0.25)
-    head = next(iter(stream_service._response_messages(1, sent)))
+    head = next(
+        iter(stream_service._response_messages(1, sent, memoryview(b"body")))
+    )
     assert isinstance(head, stream_messages.ResponseHead)
     decoded = msgspec.msgpack.decode(
         msgspec.msgpack.encode(head), type=stream_messages.ResponseHead
     )
-    received = stream_client._reply(decoded, [decoded.piece])
+    received = stream_client._reply(decoded, decoded.piece)
     assert (received.backlog_s, received.run_s) == (0.7, 0.25)
 
 
--- a/tests/test_restored_ownership.py
+++ b/tests/test_restored_ownership.py
@@ -48,6 +48,13 @@
     assert key_ranges.decode(key_ranges.encode(after)) == after
 
 
+def test_longest_time_of_grants_is_kept() -> None:
+    """A process that starts anew waits for grants of that time."""
+    before = msgspec.structs.replace(INITIAL, longest_hold_s=2.0)
+    after = restore(before, 2, 40)
+    assert (after.longest_hold_s, after.era) == (2.0, 2)
+
+
 @pytest.mark.parametrize(
     ("earlier", "later"),
     [((1, 7), (1, 8)), ((1, 2**32 - 1), (2, 0)), ((3, 9), (4, 1))],
--- a/tests/test_sidecar_options.py
+++ b/tests/test_sidecar_options.py
@@ -66,6 +66,7 @@
     assert settings.first_start
     assert settings.callers.port == 1
     assert settings.evacuate_within_s is None
+    assert settings.memory_mb == 200
     assert sidecar_options.is_sidecar_file(tmp_path / "node.ini")
 
 
@@ -84,6 +85,8 @@
         ),
         ("[retries]", "[keys]\nwork-hold-ms = 900", "[keys] work-hold-ms"),
         ("[retries]", "[keys]\nwork-hold-ms = 4000", "[keys] work-hold-ms"),
+        ("zone = a", "zone = a\nmemory-mb = 63", "[process] memory-mb"),
+        ("zone = a", "zone = a\nmemory-mb = lots", "[process] memory-mb"),
     ],
 )
 def test_errors_name_the_section_and_the_key(
