Mend what the reviews of memory, cost, evacuations and grants found

Cost: a kind is corrected by one request at a time, and one estimate serves choice and explanation. Grants: work that no grant is long enough for is still sent, renewals that gain little aren't waited for, and only a full wait counts as stalled.

--- a/packages/bronzepaddle-backend/src/bronzepaddle_backend/connections.py
+++ b/packages/bronzepaddle-backend/src/bronzepaddle_backend/connections.py
@@ -415,17 +415,21 @@
         if not piece:
             # Small bodies are bounded by the number of threads.
             return first
-        body = held_body.HeldBody(self.budget, bounded_http.MAX_BODY_BYTES)
+        body = held_body.HeldBody(
+            self.budget,
+            bounded_http.MAX_BODY_BYTES,
+            body_budget.RESPONSE_SHARE,
+        )
+        ends_at = min(deadline, self.time_now() + ROOM_WAIT_S)
         length = self._announced_length(response)
-        self._wait_for_room(body, length, deadline)
-        self._wait_for_room(body, len(first), deadline)
+        self._wait_for_room(body, max(length, len(first)), ends_at)
         body.append(first)
         counted = 0
         try:
             while piece:
                 counted += len(piece)
                 self._count_buffered(len(piece))
-                self._wait_for_room(body, body.size + len(piece), deadline)
+                self._wait_for_room(body, body.size + len(piece), ends_at)
                 body.append(piece)
                 piece = response.read(READ_SIZE_BYTES, decode_content=False)
         finally:
@@ -439,21 +443,21 @@
         return min(length, bounded_http.MAX_BODY_BYTES)
 
     def _wait_for_room(
-        self, body: held_body.HeldBody, size: int, deadline: float
+        self, body: held_body.HeldBody, size: int, ends_at: float
     ) -> None:
         """Reserve room for a body of ``size`` bytes; wait if there is none.
 
-        Raises ``InvalidResponseError``.
+        Raises ``InvalidResponseError`` if there is none until ``ends_at``.
         """
-        ends_at = min(deadline, self.time_now() + ROOM_WAIT_S)
-        while True:
-            try:
-                body.reserve(size)
-                return
-            except held_body.NoRoomError as error:
+        try:
+            body.reserve(size)
+            return
+        except held_body.NoRoomError as error:
+            while not body.has_room(size):
                 if self.time_now() >= ends_at:
                     raise InvalidResponseError(str(error)) from error
-            time.sleep(ROOM_POLL_S)
+                time.sleep(ROOM_POLL_S)
+        self._wait_for_room(body, size, ends_at)
 
     def _count_buffered(self, count: int) -> None:
         """Add to the number of bytes being read.
--- a/packages/bronzepaddle-callers/src/bronzepaddle_callers/guarded_socket.py
+++ b/packages/bronzepaddle-callers/src/bronzepaddle_callers/guarded_socket.py
@@ -15,8 +15,8 @@
 from bronzepaddle import logs
 from bronzepaddle.load import slow_callers
 
-RECEIVE_BUFFER_BYTES: typing.Final = 256 * 1024
-"""Bytes that the kernel keeps of what a caller has sent."""
+WAIT_SLICE_S: typing.Final = 1.0
+"""Longest wait after which a thread looks whether its caller is closed."""
 
 TIMED_OUT: typing.Final = "timed out"
 """Text of the error by which cheroot recognizes a timeout."""
@@ -78,16 +78,18 @@
         transfer = self.transfer
         self.waits_to_read = event == select.POLLIN
         now = time.monotonic()
-        decision = self.waiting_threads.begin(transfer, now)
+        decision = self.waiting_threads.begin(
+            transfer, now, may_refuse=self.waits_to_read
+        )
         match decision:
             case slow_callers.GiveUp(reason):
                 self._give_up(reason)
             case slow_callers.Wait(timeout_s, slowest):
                 if slowest is not None:
                     slowest.close()
-                left_s = min(timeout_s, max(0.0, self.wait_ends_at - now))
+                ends_at = min(now + timeout_s, self.wait_ends_at)
                 try:
-                    is_ready = poll.poll(left_s * 1000)
+                    is_ready = self._poll_until(poll, ends_at)
                 finally:
                     self.waiting_threads.end(transfer, time.monotonic())
                 if transfer.closed:
@@ -98,6 +100,16 @@
             case _:
                 typing.assert_never(decision)
 
+    def _poll_until(self, poll: select.poll, ends_at: float) -> bool:
+        """Wait until the socket is ready; False if the wait has ended."""
+        while not self.transfer.closed:
+            left_s = ends_at - time.monotonic()
+            if poll.poll(max(0.0, min(left_s, WAIT_SLICE_S)) * 1000):
+                return True
+            if left_s <= 0:
+                return False
+        return False
+
     def _give_up(self, reason: str) -> typing.NoReturn:
         logs.slow_caller(reason, self.transfer.lag_s)
         raise TimeoutError(TIMED_OUT)
@@ -126,9 +138,6 @@
     )
     # Waits are made by the methods of the class.
     guarded.setblocking(False)
-    guarded.setsockopt(
-        socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-    )
     guarded.waiting_threads = waiting_threads
     guarded.transfer = slow_callers.Transfer(guarded.wake)
     return guarded
--- a/packages/bronzepaddle-callers/src/bronzepaddle_callers/request_body.py
+++ b/packages/bronzepaddle-callers/src/bronzepaddle_callers/request_body.py
@@ -44,7 +44,7 @@
         if len(small) < length:
             raise _ended_early()
         return small
-    body = held_body.HeldBody(budget, length)
+    body = held_body.HeldBody(budget, length, body_budget.REQUEST_SHARE)
     body.reserve(length)
     while body.size < length:
         piece = stream.read(http_messages.CHUNK_BYTES)
@@ -65,7 +65,7 @@
         raise _too_large(max_bytes)
     if len(piece) < body_budget.SMALL_BYTES:
         return piece
-    body = held_body.HeldBody(budget, max_bytes)
+    body = held_body.HeldBody(budget, max_bytes, body_budget.REQUEST_SHARE)
     while piece:
         if body.size + len(piece) > max_bytes:
             raise _too_large(max_bytes)
--- a/packages/bronzepaddle-callers/src/bronzepaddle_callers/server.py
+++ b/packages/bronzepaddle-callers/src/bronzepaddle_callers/server.py
@@ -6,6 +6,7 @@
 """
 
 import concurrent.futures
+import contextlib
 import dataclasses
 import math
 import select
@@ -30,6 +31,9 @@
 
 LISTEN_BACKLOG: typing.Final = 512
 
+RECEIVE_BUFFER_BYTES: typing.Final = 256 * 1024
+"""Bytes that the kernel keeps of what a caller has sent."""
+
 STOP_SLACK_S: typing.Final = 0.5
 """Time beyond the drain time after which ``stop`` returns in any case."""
 
@@ -198,6 +202,11 @@
         except BaseException as error:
             prepared.set_exception(error)
             return
+        # Connections inherit it.  The kernel doubles the value.
+        with contextlib.suppress(OSError):
+            self.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES // 2
+            )
         prepared.set_result(None)
         self.serve()
 
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/fleet/evacuations.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/fleet/evacuations.py
@@ -38,10 +38,11 @@
 It keeps the watches of different processes from ending at the same time.
 """
 
-WATCH_FACTOR: typing.Final = 2.0
-"""Longest watch as a multiple of the time in which a change must be known.
+WATCH_FACTOR: typing.Final = 0.75
+"""Longest watch as a multiple of the time in which a change must take effect.
 
-One of ``WATCHERS`` watches then ends, on average, every third of that time.
+If all watches hang, the next one that starts finds the change; admitted
+requests are then still sent for a while.
 """
 
 START_SPREAD_S: typing.Final = 1.0
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/keys/keyed_work.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/keys/keyed_work.py
@@ -39,10 +39,13 @@
         may_wait = not renewals.stalled
         decision = self._grant_fit(request, deadline, may_wait)
         if decision is grant_times.Fit.RENEW_FIRST:
-            await renewals.wait(
+            wait_s = min(MAX_RENEWAL_WAIT_S, deadline - self.clock.now())
+            was_tried = await renewals.wait(
                 grant_times.WantedRenewal(request.key, request.rank, deadline),
-                min(MAX_RENEWAL_WAIT_S, deadline - self.clock.now()),
+                wait_s,
             )
+            if not was_tried and wait_s == MAX_RENEWAL_WAIT_S:
+                renewals.stalled = True
             decision = self._grant_fit(request, deadline, may_wait=False)
         if decision is grant_times.Fit.TOO_LONG:
             renewals.rejected += 1
@@ -60,6 +63,7 @@
         rest = grant_times.GrantRest(
             self.held_keys.left_s(request.key, now),
             self.held_keys.renewals.renewed_s,
+            self.held_keys.renewals.fresh_s,
         )
         return grant_times.fit(
             rest,
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/keys/server_grants.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/keys/server_grants.py
@@ -145,8 +145,10 @@
 
     def _record_renewed_time(self) -> None:
         """Record how long a grant would last that is renewed now."""
-        self.held.renewals.renewed_s = self.view.lease.grant_duration_s(
-            self.clock.now(), self.hold_times.longest_hold_s()
+        renewals = self.held.renewals
+        renewals.fresh_s = self.hold_times.longest_hold_s()
+        renewals.renewed_s = self.view.lease.grant_duration_s(
+            self.clock.now(), renewals.fresh_s
         )
 
     def _announced_since_refusal(self) -> bool:
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/keys/wanted_renewals.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/keys/wanted_renewals.py
@@ -20,7 +20,8 @@
     ``stalled`` is set while renewals take too long to wait for.
     ``on_wanted`` is called when a request begins to wait.  ``renewed_s`` is
     how long a grant would last that is renewed now, 0 if grants are not
-    renewed by command.  ``waits`` counts the requests that have waited,
+    renewed by command, and ``fresh_s`` how long under a lease that has not
+    begun to run out.  ``waits`` counts the requests that have waited,
     ``rejected`` those that what was left of their grant was too short for, and
     ``cut_off`` those that failed since they outlasted it.
     """
@@ -28,6 +29,7 @@
     def __init__(self) -> None:
         self.on_wanted: collections.abc.Callable[[], None] = _nobody
         self.renewed_s = 0.0
+        self.fresh_s = 0.0
         self.stalled = False
         self.waits = 0
         self.rejected = 0
@@ -64,8 +66,8 @@
 
     async def wait(
         self, renewal: grant_times.WantedRenewal, timeout_s: float
-    ) -> None:
-        """Wait until the renewal has been tried, or for ``timeout_s``."""
+    ) -> bool:
+        """Wait for ``timeout_s``; return whether the renewal was tried."""
         waiter = asyncio.get_running_loop().create_future()
         self.waiting[waiter] = renewal
         self.waits += 1
@@ -74,6 +76,7 @@
             async with asyncio.timeout(timeout_s):
                 await waiter
         except TimeoutError:
-            self.stalled = True
+            return False
         finally:
             del self.waiting[waiter]
+        return True
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
@@ -171,7 +171,10 @@
         return (
             0.0
             if self.server_run is None
-            else self.server_run.queue.overall_mean_s()
+            # A request with a key can't be sent to another server.
+            else self.server_run.queue.overall_mean_s(
+                counts_failures=not self.held_keys.ranges
+            )
         )
 
     def backlog_s(self) -> float:
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/reconciler.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/reconciler.py
@@ -59,6 +59,7 @@
         self.held = held
         self.clock = clock
         self.started_at = clock.now()
+        self.tokens_used_up = False
         self.wakeup = asyncio.Event()
         held.renewals.on_wanted = self.wakeup.set
         self.view = ownership_view.OwnershipView(
@@ -241,6 +242,9 @@
             return
         after = restored_ownership.restore(newest, outdated.version)
         if after is None:
+            if not self.tokens_used_up:
+                self.tokens_used_up = True
+                logs.tokens_used_up(self.settings.name, outdated.version)
             return
         if await self.view.replace(outdated.version, after):
             logs.ownership_restored(
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/requests/route_explanation.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/requests/route_explanation.py
@@ -60,8 +60,11 @@
         reason, peers = _owner(question, service, known)
     else:
         reason, peers = _eligible(service, known)
+    assumed_s = load_balancing.assumed_service_s(
+        [known.peers.candidate(peer) for peer in peers]
+    )
     candidates = sorted(
-        (_describe(peer, cost.relative, known) for peer in peers),
+        (_describe(peer, cost.relative, assumed_s, known) for peer in peers),
         key=lambda candidate: candidate.latency_s,
     )
     if len(route.weighted_services) > 1:
@@ -101,9 +104,15 @@
 
 
 def _describe(
-    peer: peer_table.Peer, relative_cost: float, known: Known
+    peer: peer_table.Peer,
+    relative_cost: float,
+    assumed_s: float,
+    known: Known,
 ) -> status.RouteCandidate:
-    """Return the figures by which a process is chosen."""
+    """Return the figures by which a process is chosen.
+
+    ``assumed_s`` is assumed for the time of a request that is not measured.
+    """
     candidate = known.peers.candidate(peer)
     return status.RouteCandidate(
         candidate.member,
@@ -114,7 +123,5 @@
         candidate.service_s,
         candidate.cold,
         known.now - peer.heard_at,
-        load_balancing.expected_latency_s(
-            candidate, relative_cost=relative_cost
-        ),
+        load_balancing.expected_latency_s(candidate, assumed_s, relative_cost),
     )
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/incoming_bodies.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/incoming_bodies.py
@@ -23,11 +23,18 @@
         ``held_body.NoRoomError`` at the first one.
         """
         if part.start == 0:
-            body = held_body.HeldBody(self.budget, part.size)
+            body = held_body.HeldBody(
+                self.budget, part.size, body_budget.REQUEST_SHARE
+            )
             body.reserve(part.size)
             self.bodies[part.number] = body
         received = self.bodies.get(part.number)
-        if received is not None and received.size == part.start:
+        if received is None or received.size != part.start:
+            return
+        if received.size + len(part.piece) > received.max_bytes:
+            # The peer has sent more than it announced.
+            self.drop(part.number)
+        else:
             received.append(part.piece)
 
     def complete(
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_client.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_client.py
@@ -185,13 +185,21 @@
 
     async def _write(self, stream: _Stream) -> None:
         while True:
-            match await self.outgoing.get():
-                case _QueuedRequest() as queued:
-                    pending = self.pending.get(queued.number)
-                    if pending is not None:
-                        await self._write_request(stream, pending, queued)
-                case message:
-                    await stream.send_message(message)
+            # Nothing of a request is kept while this waits for the next one.
+            await self._write_message(stream, await self.outgoing.get())
+
+    async def _write_message(
+        self,
+        stream: _Stream,
+        message: "stream_messages.ClientMessage | _QueuedRequest",
+    ) -> None:
+        match message:
+            case _QueuedRequest():
+                pending = self.pending.get(message.number)
+                if pending is not None:
+                    await self._write_request(stream, pending, message)
+            case _:
+                await stream.send_message(message)
 
     async def _write_request(
         self, stream: _Stream, pending: _Pending, queued: _QueuedRequest
@@ -273,7 +281,9 @@
         if more or pending.body is not None:
             if pending.body is None:
                 pending.body = held_body.HeldBody(
-                    self.budget, bounded_http.MAX_BODY_BYTES
+                    self.budget,
+                    bounded_http.MAX_BODY_BYTES,
+                    body_budget.RESPONSE_SHARE,
                 )
             try:
                 pending.body.append(piece)
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_service.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_service.py
@@ -191,49 +191,59 @@
     async def exchange(self, stream: typing.Any) -> None:
         """Serve the stream of one peer until it ends."""
         exchange = _Exchange(stream, self.budget)
-        outgoing, tasks = exchange.outgoing, exchange.tasks
         writing = asyncio.create_task(exchange.write())
         self.exchanges.add(exchange)
         try:
             while (message := await stream.recv_message()) is not None:
-                match message:
-                    case stream_messages.RequestPart(number=number):
-                        try:
-                            exchange.bodies.add(message)
-                        except held_body.NoRoomError as error:
-                            exchange.start(
-                                number,
-                                self._refuse(
-                                    exchange,
-                                    number,
-                                    ids.RequestId(""),
-                                    str(error),
-                                ),
-                            )
-                    case stream_messages.ForwardedRequest(number=number):
-                        request = exchange.bodies.complete(message)
-                        if request is not None:
-                            exchange.start(
-                                number, self._serve(exchange, request)
-                            )
-                    case stream_messages.Cancel(number):
-                        exchange.bodies.drop(number)
-                        if number in tasks:
-                            tasks[number].cancel()
-                    case stream_messages.Ping():
-                        outgoing.put_nowait(message)
-                    case stream_messages.StatusRequest():
-                        outgoing.put_nowait(
-                            stream_messages.StatusReply(
-                                self.handlers.current_status()
-                            )
-                        )
+                self._on_message(exchange, message)
+                # Nothing of it is kept while this waits for the next one.
+                del message
         finally:
             # The stream has ended: the responses can't be delivered any more.
             self.exchanges.discard(exchange)
-            for task in [*tasks.values(), writing]:
+            for task in [*exchange.tasks.values(), writing]:
                 task.cancel()
 
+    def _on_message(
+        self, exchange: _Exchange, message: stream_messages.ClientMessage
+    ) -> None:
+        """Process one message of a peer."""
+        match message:
+            case stream_messages.RequestPart():
+                self._on_part(exchange, message)
+            case stream_messages.ForwardedRequest(number=number):
+                request = exchange.bodies.complete(message)
+                if request is not None:
+                    exchange.start(number, self._serve(exchange, request))
+            case stream_messages.Cancel(number):
+                exchange.bodies.drop(number)
+                if number in exchange.tasks:
+                    exchange.tasks[number].cancel()
+            case stream_messages.Ping():
+                exchange.outgoing.put_nowait(message)
+            case stream_messages.StatusRequest():
+                exchange.outgoing.put_nowait(
+                    stream_messages.StatusReply(self.handlers.current_status())
+                )
+            case _:
+                typing.assert_never(message)
+
+    def _on_part(
+        self, exchange: _Exchange, part: stream_messages.RequestPart
+    ) -> None:
+        """Add a part to its body; refuse the request if there is no room."""
+        try:
+            exchange.bodies.add(part)
+        except held_body.NoRoomError as error:
+            refusing = self._refuse(
+                exchange,
+                part.number,
+                ids.RequestId(""),
+                verdicts.Reason.MEMORY_FULL,
+                str(error),
+            )
+            exchange.start(part.number, refusing)
+
     async def _serve(
         self, exchange: _Exchange, request: stream_messages.ForwardedRequest
     ) -> None:
@@ -241,15 +251,18 @@
         is_counted = isinstance(request.body, memoryview)
         with (
             self.pacer.reserve(request.route) as reservation,
-            self.budget.open() as held,
+            self.budget.open(body_budget.REQUEST_SHARE) as held,
         ):
             decision = held.grow(0 if is_counted else len(request.body))
             match decision:
                 case body_budget.Refused():
+                    # Peers of earlier releases send whole requests, and know
+                    # only this reason.
                     await self._refuse(
                         exchange,
                         request.number,
                         request.request_id,
+                        verdicts.Reason.QUEUE_FULL,
                         str(decision),
                     )
                     return
@@ -272,6 +285,7 @@
         exchange: _Exchange,
         number: int,
         request_id: ids.RequestId,
+        reason: verdicts.Reason,
         detail: str,
     ) -> None:
         """Refuse a request for whose body there is no room.
@@ -279,7 +293,7 @@
         ``request_id`` is empty while only parts of it have come.
         """
         response = http_messages.rejection(
-            verdicts.Reason.MEMORY_FULL,
+            reason,
             ids.MemberId(""),
             retry_after_s=body_budget.RETRY_AFTER_S,
             detail=detail,
--- a/packages/bronzepaddle/src/bronzepaddle/held_body.py
+++ b/packages/bronzepaddle/src/bronzepaddle/held_body.py
@@ -26,19 +26,20 @@
 class HeldBody:
     """A body that is being received, of at most ``max_bytes``."""
 
-    def __init__(self, budget: body_budget.BodyBudget, max_bytes: int) -> None:
-        self.reservation = budget.open()
+    def __init__(
+        self, budget: body_budget.BodyBudget, max_bytes: int, share: float
+    ) -> None:
+        self.reservation = budget.open(share)
+        self.max_bytes = max_bytes
         self.size = 0
-        memory = mmap.mmap(
-            -1,
-            max(1, max_bytes),
-            flags=mmap.MAP_PRIVATE | mmap.MAP_ANONYMOUS,
+        # Empty until memory is reserved.
+        self.memory = memoryview(b"")
+
+    def has_room(self, size: int) -> bool:
+        """Return whether memory for ``size`` bytes could be reserved now."""
+        return self.reservation.has_room(
+            size - self.reservation.reserved_bytes
         )
-        self.memory = memoryview(memory)
-        # The reservation must not end before the memory is given back, which
-        # happens when the last view of it is gone.
-        at_end = weakref.finalize(memory, self.reservation.release)
-        at_end.atexit = False
 
     def reserve(self, size: int) -> None:
         """Reserve memory for ``size`` bytes in all.
@@ -50,12 +51,35 @@
             return
         match self.reservation.grow(added_bytes):
             case body_budget.Granted():
-                return
+                if not self.memory:
+                    self._map_memory(size)
             case body_budget.Refused() as refused:
                 raise NoRoomError(refused)
             case never:
                 typing.assert_never(never)
 
+    def _map_memory(self, size: int) -> None:
+        """Map the memory for the whole body; raises ``NoRoomError``."""
+        budget = self.reservation.budget
+        try:
+            memory = mmap.mmap(
+                -1,
+                max(1, self.max_bytes),
+                flags=mmap.MAP_PRIVATE | mmap.MAP_ANONYMOUS,
+            )
+        except OSError as error:
+            self.reservation.release()
+            raise NoRoomError(
+                body_budget.Refused(
+                    size, budget.held_bytes, budget.limit_bytes
+                )
+            ) from error
+        self.memory = memoryview(memory)
+        # The reservation must not end before the memory is given back, which
+        # happens when the last view of it is gone.
+        at_end = weakref.finalize(memory, self.reservation.release)
+        at_end.atexit = False
+
     def append(self, data: bytes) -> None:
         """Reserve memory for further bytes, and add them.
 
@@ -63,7 +87,7 @@
         than its maximum.
         """
         end = self.size + len(data)
-        if end > len(self.memory):
+        if end > self.max_bytes:
             raise ValueError("the body is larger than announced")
         self.reserve(end)
         self.memory[self.size : end] = data
--- a/packages/bronzepaddle/src/bronzepaddle/load/body_budget.py
+++ b/packages/bronzepaddle/src/bronzepaddle/load/body_budget.py
@@ -40,8 +40,18 @@
 SMALL_BYTES: typing.Final = 64 * 1024
 """Size up to which a body is small."""
 
-SMALL_SHARE: typing.Final = 0.1
-"""Share of the budget that only small bodies can take."""
+REQUEST_SHARE: typing.Final = 0.7
+"""Share of the budget that large bodies of requests can take.
+
+The rest is for their responses: without room for its response, a request that
+has run is lost.
+"""
+
+RESPONSE_SHARE: typing.Final = 0.9
+"""Share of the budget that large bodies can take in all.
+
+The rest is for small ones.
+"""
 
 RETRY_AFTER_S: typing.Final = 1.0
 """Retry-After of a refusal.
@@ -91,39 +101,64 @@
         self.held_bytes = 0
         self.refusals = 0
         self.on_shortage: collections.abc.Callable[[], None] = lambda: None
-        self.lock = threading.Lock()
-
-    def open(self) -> "Reservation":
-        """Return a reservation for one body, which has no bytes yet."""
-        return Reservation(self)
+        # The garbage collector may release a body while a thread has the lock.
+        self.lock = threading.RLock()
+
+    def open(self, share: float) -> "Reservation":
+        """Return a reservation for one body, which has no bytes yet.
+
+        ``share`` is the share of the budget that large bodies of its kind can
+        take.
+        """
+        return Reservation(self, share)
+
+    def has_room(
+        self, wanted_bytes: int, added_bytes: int, share: float
+    ) -> bool:
+        """Return whether bytes can be added to a body of a size with them."""
+        if added_bytes <= 0:
+            return True
+        usable_share = 1.0 if wanted_bytes <= SMALL_BYTES else share
+        usable_bytes = self.limit_bytes * usable_share
+        return self.held_bytes + added_bytes <= usable_bytes
 
     def change(
-        self, reserved_bytes: int, added_bytes: int
+        self, reserved_bytes: int, added_bytes: int, share: float
     ) -> Granted | Refused:
         """Add bytes to a body of which ``reserved_bytes`` are reserved."""
         wanted_bytes = reserved_bytes + added_bytes
-        share = 1.0 if wanted_bytes <= SMALL_BYTES else 1.0 - SMALL_SHARE
         with self.lock:
-            fits = self.held_bytes + added_bytes <= self.limit_bytes * share
-            if added_bytes <= 0 or fits:
+            held_bytes = self.held_bytes
+            fits = self.has_room(wanted_bytes, added_bytes, share)
+            if fits:
                 self.held_bytes += added_bytes
-                return Granted()
-            self.refusals += 1
-            refused = Refused(wanted_bytes, self.held_bytes, self.limit_bytes)
+            else:
+                self.refusals += 1
+        if fits:
+            return Granted()
         self.on_shortage()
-        return refused
+        return Refused(wanted_bytes, held_bytes, self.limit_bytes)
 
 
 class Reservation:
     """The reserved bytes of one body; used by one thread at a time."""
 
-    def __init__(self, budget: BodyBudget) -> None:
+    def __init__(self, budget: BodyBudget, share: float) -> None:
         self.budget = budget
+        self.share = share
         self.reserved_bytes = 0
 
+    def has_room(self, added_bytes: int) -> bool:
+        """Return whether further bytes could be reserved now."""
+        return self.budget.has_room(
+            self.reserved_bytes + added_bytes, added_bytes, self.share
+        )
+
     def grow(self, added_bytes: int) -> Granted | Refused:
         """Reserve further bytes."""
-        decision = self.budget.change(self.reserved_bytes, added_bytes)
+        decision = self.budget.change(
+            self.reserved_bytes, added_bytes, self.share
+        )
         match decision:
             case Granted():
                 self.reserved_bytes += added_bytes
@@ -136,7 +171,7 @@
     def release(self) -> None:
         """Give all bytes back; may be called again."""
         reserved_bytes, self.reserved_bytes = self.reserved_bytes, 0
-        self.budget.change(reserved_bytes, -reserved_bytes)
+        self.budget.change(reserved_bytes, -reserved_bytes, self.share)
 
     def __enter__(self) -> "Reservation":
         return self
--- a/packages/bronzepaddle/src/bronzepaddle/load/expected_cost.py
+++ b/packages/bronzepaddle/src/bronzepaddle/load/expected_cost.py
@@ -42,6 +42,9 @@
 AGE_S: typing.Final = 60.0
 """Time constant with which a value is forgotten that has no requests."""
 
+CORRECTED_AGE_S: typing.Final = 1.0
+"""Age from which a value is replaced by a run that corrects it."""
+
 MIN_EXPLAINED_SHARE: typing.Final = 0.2
 """Share of the squared error that a feature must explain to count."""
 
@@ -90,7 +93,11 @@
     """
     path, _, query = target.partition("?")
     segments = path.split("/", MAX_SHAPE_SEGMENTS + 1)[1:]
-    shape = [method, *segments[:1], *map(_segment_kind, segments[1:])]
+    shape = [
+        method[:MAX_WORD_LENGTH],
+        *(segment[:MAX_WORD_LENGTH] for segment in segments[:1]),
+        *map(_segment_kind, segments[1:]),
+    ]
     if query:
         parameters = query.split("&", MAX_SHAPE_SEGMENTS)
         shape.append("?")
@@ -205,19 +212,6 @@
             rest += share * self.weights[bin_] * width / 2
         return (rest / mean + HISTOGRAM_PRIOR) / (weight + HISTOGRAM_PRIOR)
 
-    def quantile(self, share: float) -> float:
-        """Return the ratio that a share of the requests does not exceed.
-
-        The assumed requests count too.
-        """
-        total = self.weight_above[0] + HISTOGRAM_PRIOR
-        for index, ratio in enumerate(_BIN_RATIOS):
-            assumed_above = HISTOGRAM_PRIOR * math.exp(-ratio)
-            above = self.weight_above[index + 1] + assumed_above
-            if above <= (1 - share) * total:
-                return ratio
-        return _BIN_RATIOS[-1]
-
 
 def _bin(log_ratio: float) -> int:
     index = int((log_ratio + MAX_LOG_RATIO) / BIN_WIDTH)
@@ -297,7 +291,8 @@
         """Learn from a finished request.
 
         ``ratio`` is that of its cost to the mean of its kind.  If it
-        ``corrects`` the model, it replaces what is known of its features.
+        ``corrects`` the model, it replaces what is known of its features, but
+        for what others have taught lately.
         """
         if not self.max_values or ratio <= 0:
             return
@@ -310,7 +305,7 @@
             if feature is None:
                 continue
             value = self._value((kind, index, feature), now)
-            if corrects:
+            if corrects and now - value.updated_at > CORRECTED_AGE_S:
                 value.samples = 0.0
             effect = value.effect(now)
             usefulness = known.usefulness[index]
--- a/packages/bronzepaddle/src/bronzepaddle/load/grant_times.py
+++ b/packages/bronzepaddle/src/bronzepaddle/load/grant_times.py
@@ -49,7 +49,7 @@
 RENEWAL_INTERVAL_S: typing.Final = 0.8
 """Time between two renewals of a grant that no request asks for."""
 
-MIN_GAIN_S: typing.Final = 0.1
+MIN_GAIN_S: typing.Final = 0.4
 """Time by which a renewal must prolong a grant to be worth a command."""
 
 RENEWAL_AHEAD_S: typing.Final = 0.15
@@ -145,11 +145,14 @@
     """What is left of a grant, and what a renewal would make of it.
 
     ``left_s`` is the time until the grant ends, ``renewed_s`` the time until
-    it would end if it were renewed now.
+    it would end if it were renewed now, and ``fresh_s`` the time until it
+    would end if it were renewed while the lease of the process has not begun
+    to run out.
     """
 
     left_s: float
     renewed_s: float
+    fresh_s: float
 
 
 def fit(
@@ -157,13 +160,16 @@
 ) -> Fit:
     """Decide whether to send a request under what is left of its grant.
 
-    A request that needs longer than any renewal lasts doesn't wait for one.
-    ``may_wait`` is false once the request has waited for its renewal.
+    A request that needs longer than any renewal lasts waits only if the
+    renewal prolongs the grant by ``MIN_GAIN_S``.  It is not rejected under
+    what is left of a grant between two renewals: no later grant would be any
+    longer.  ``may_wait`` is false once the request has waited for its renewal.
     """
     worth_waiting = rest.left_s < min(needed_s, rest.renewed_s - MIN_GAIN_S)
     if may_wait and worth_waiting:
         return Fit.RENEW_FIRST
-    if rest.left_s < min(typical_s, needed_s):
+    usual_s = rest.fresh_s - RENEWAL_INTERVAL_S
+    if rest.left_s < min(typical_s, needed_s, usual_s):
         return Fit.TOO_LONG
     return Fit.FITS
 
--- a/packages/bronzepaddle/src/bronzepaddle/load/load_balancing.py
+++ b/packages/bronzepaddle/src/bronzepaddle/load/load_balancing.py
@@ -89,20 +89,27 @@
     if not candidates:
         return None
     compared = to_compare(candidates, rng, _candidate_weight)
-    measured = [
-        candidate.service_s for candidate in compared if candidate.service_s
-    ]
-    default_service_s = min(measured, default=DEFAULT_SERVICE_S)
+    assumed_s = assumed_service_s(compared)
     best = min(
         compared,
         key=lambda candidate: (
-            expected_latency_s(candidate, default_service_s, relative_cost)
+            expected_latency_s(candidate, assumed_s, relative_cost)
             * rng.uniform(1 - NOISE, 1 + NOISE)
         ),
     )
     return best.member
 
 
+def assumed_service_s(
+    compared: collections.abc.Sequence[Candidate],
+) -> float:
+    """Return the time per request assumed for those without measurements."""
+    measured = [
+        candidate.service_s for candidate in compared if candidate.service_s
+    ]
+    return min(measured, default=DEFAULT_SERVICE_S)
+
+
 def to_compare(
     candidates: collections.abc.Sequence[_T],
     rng: random.Random,
--- a/packages/bronzepaddle/src/bronzepaddle/load/server_queue.py
+++ b/packages/bronzepaddle/src/bronzepaddle/load/server_queue.py
@@ -507,7 +507,6 @@
             or any(
                 running.corrects_factor
                 and running.profile.kind == profile.kind
-                and running.profile.features == profile.features
                 for running in (*self.running_entries, *self.waiting)
             )
         ):
@@ -545,15 +544,18 @@
         """Return the mean service time of a kind of request."""
         return self.mean_service_s_by_kind.get(kind, DEFAULT_SERVICE_S)
 
-    def overall_mean_s(self) -> float:
+    def overall_mean_s(self, counts_failures: bool = True) -> float:
         """Return the mean service time of all requests; 0 if unknown.
 
         The mean is taken over requests, not over kinds, because some kinds
-        are rare.  It is that of requests of usual cost, and longer if some of
-        them fail: they may have to be sent again.
+        are rare.  It is that of requests of usual cost.  If failures count, it
+        is longer where requests fail: they may have to be sent again.
         """
+        if not counts_failures or not self.failure_share:
+            return self.overall_mean_service_s
         failure_share = min(self.failure_share, MAX_FAILURE_SHARE)
-        return self.overall_mean_service_s / (1 - failure_share)
+        mean_s = self.overall_mean_service_s or DEFAULT_SERVICE_S
+        return mean_s / (1 - failure_share)
 
     def _record_outcome(
         self, entry: QueueEntry, now: float, failed: bool
--- a/packages/bronzepaddle/src/bronzepaddle/load/slow_callers.py
+++ b/packages/bronzepaddle/src/bronzepaddle/load/slow_callers.py
@@ -97,8 +97,14 @@
         self.closed_callers = 0
         self.lock = threading.Lock()
 
-    def begin(self, transfer: Transfer, now: float) -> Wait | GiveUp:
-        """Begin to wait for a caller, unless it is closed."""
+    def begin(
+        self, transfer: Transfer, now: float, may_refuse: bool = True
+    ) -> Wait | GiveUp:
+        """Begin to wait for a caller, unless it is closed.
+
+        Without ``may_refuse``, it is not closed merely since too many threads
+        wait: its request has run, and it has not been slow so far.
+        """
         with self.lock:
             timeout_s = self.max_lag_s - transfer.lag_s
             if transfer.closed or timeout_s <= 0:
@@ -110,11 +116,14 @@
                     key=lambda other: other.lag_at(now),
                     default=None,
                 )
-                if slowest is None or slowest.lag_at(now) < MIN_LAG_S:
+                if slowest is not None and slowest.lag_at(now) >= MIN_LAG_S:
+                    self._mark_closed(slowest)
+                elif may_refuse:
                     return self._give_up(
                         transfer, "too many threads wait for slow callers"
                     )
-                self._mark_closed(slowest)
+                else:
+                    slowest = None
             transfer.waiting_since = now
             self.waiting.add(transfer)
             return Wait(timeout_s, slowest)
--- a/packages/bronzepaddle/src/bronzepaddle/logs.py
+++ b/packages/bronzepaddle/src/bronzepaddle/logs.py
@@ -440,6 +440,21 @@
     )
 
 
+def tokens_used_up(
+    member: ids.MemberId, replaced: store_versions.StoreVersion
+) -> None:
+    """Log that the ownership of a new store era can't be written.
+
+    ``replaced`` is the version of the object in that era.
+    """
+    eliot.log_message(
+        message_type="tokens-used-up",
+        member=member,
+        era=replaced.era,
+        revision=replaced.revision,
+    )
+
+
 def ownership_restored(
     member: ids.MemberId,
     ownership: key_ranges.Ownership,
--- a/packages/bronzepaddle/src/bronzepaddle/store_leases.py
+++ b/packages/bronzepaddle/src/bronzepaddle/store_leases.py
@@ -40,7 +40,7 @@
 
         ``longest_hold_s`` is how long grants for long work may have lasted.
         """
-        hold_s = min(self.lease_s, max(self.command_hold_s, longest_hold_s))
+        hold_s = max(self.command_hold_s, min(self.lease_s, longest_hold_s))
         return hold_s * (1 + self.drift) + self.margin_s
 
 
--- a/tests/test_expected_cost.py
+++ b/tests/test_expected_cost.py
@@ -122,3 +122,8 @@
     assert shape("GET", "/shop/1") != shape("POST", "/shop/1")
     long_target = "/x" * 10_000 + "?" + "y&" * 10_000
     assert len(shape("GET", long_target)) < 500
+
+
+def test_shape_of_a_long_target_is_short() -> None:
+    shape = expected_cost.target_shape("GET", "/" + "x" * 8000 + "/1?a=2")
+    assert len(shape) < 200
--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -79,6 +79,20 @@
     assert slowest.closed
 
 
+def test_reader_of_a_response_is_not_closed_for_want_of_threads() -> None:
+    """Its request has run; a caller that has just begun to send gives way."""
+    callers = Callers()
+    for _ in range(int(THREADS * slow_callers.WAITING_SHARE)):
+        assert callers.wait(callers.add())
+    assert not callers.wait(callers.add())
+    reader = callers.add()
+    decision = callers.waiting_threads.begin(
+        reader, callers.now, may_refuse=False
+    )
+    assert isinstance(decision, slow_callers.Wait)
+    assert not callers.closed
+
+
 @pytest.mark.parametrize("sent_before", [0, 60_000_000])
 def test_caller_that_stops_is_closed_whatever_it_sent_before(
     sent_before: int,
