--- a/tests/test_truthful_refusals.py
+++ b/tests/test_truthful_refusals.py
@@ -15,7 +15,7 @@
 from bronzepaddle import cells, clocks, ids, verdicts
 from bronzepaddle_backend import connections
 from bronzepaddle_node import peer_table, router
-from bronzepaddle_peers import stream_client, stream_messages
+from bronzepaddle_peers import stream_client
 from support import local_processes, sample_status, scripted_server
 
 HOP_S: typing.Final = 0.05
