Don't put off low ranks for longer than the load here is known

A request of a low rank was told to come again in 16 s once a more urgent one had been rejected within the last second: the estimate left it a tenth of a slot. The delay is now at most the time after which that no longer counts, plus the requests that are here.

--- a/packages/bronzepaddle/src/bronzepaddle/load/server_queue.py
+++ b/packages/bronzepaddle/src/bronzepaddle/load/server_queue.py
@@ -255,7 +255,7 @@
             self.rejected_at[profile.level] = now
             if slot_wait_s < start_wait_s:
                 return self._reject_for_rate(start_wait_s, now)
-            return Rejected(slot_wait_s, self._retry_after_s(slot_wait_s))
+            return Rejected(slot_wait_s, self._retry_after_s(slot_wait_s, now))
         level = profile.level
         self.admitted_s[level] = self.admitted_s.get(level, 0.0) + expected_s
         self.admitted[level] = self.admitted.get(level, 0.0) + 1
@@ -461,7 +461,7 @@
         if self.start_limit.starts_per_s(now):
             room_at = self.start_limit.earliest_start(now, len(self.waiting))
             return self.start_limit.room_in_s(now, room_at, self.rejections)
-        return self._retry_after_s(0.0)
+        return self._retry_after_s(0.0, now)
 
     def _misses_deadline(self, entry: QueueEntry, now: float) -> bool:
         """Return whether a waiting request would miss its deadline."""
@@ -606,10 +606,17 @@
             self.admitted[level] *= factor
         self.decayed_at = now
 
-    def _retry_after_s(self, wait_s: float) -> float:
+    def _retry_after_s(self, wait_s: float, now: float) -> float:
+        """Return after what time a request may come again.
+
+        The wait of a low rank follows from what more urgent requests did in
+        the last ``DECAY_S`` and says little about the time after that and
+        after the requests that are here now.
+        """
+        known_s = DECAY_S + self.backlog_s(now) * self.speed.factor(now)
         rejected_share = self.rejections / max(1.0, self.arrivals)
         return (
-            max(MIN_RETRY_AFTER_S, wait_s)
+            max(MIN_RETRY_AFTER_S, min(wait_s, known_s))
             + OVERLOAD_RETRY_AFTER_S * rejected_share
         )
 
--- a/tests/test_expected_cost.py
+++ b/tests/test_expected_cost.py
@@ -7,7 +7,7 @@
 from bronzepaddle.load import expected_cost
 
 KIND: typing.Final = "read"
-DEAR: typing.Final = 10.0
+COSTLY: typing.Final = 10.0
 
 
 def features(
@@ -16,7 +16,7 @@
     return expected_cost.request_features("GET", target, body_bytes, key, "a")
 
 
-CHEAP_AND_DEAR: typing.Final = {
+CHEAP_AND_COSTLY: typing.Final = {
     "path": (features("/shop/item/17"), features("/shop/report/17")),
     "query": (features("/shop/1?page=2"), features("/shop/1?export=2")),
     "body": (features(body_bytes=900), features(body_bytes=90_000)),
@@ -41,14 +41,14 @@
     return now
 
 
-@pytest.mark.parametrize("name", CHEAP_AND_DEAR)
+@pytest.mark.parametrize("name", CHEAP_AND_COSTLY)
 def test_requests_that_look_alike_are_told_apart(name: str) -> None:
     """Costs that differ by ten are learned by the feature that tells them."""
-    cheap, dear = CHEAP_AND_DEAR[name]
+    cheap, costly = CHEAP_AND_COSTLY[name]
     model = expected_cost.CostModel()
-    now = learn(model, {cheap: 0.2, dear: 0.2 * DEAR})
-    ratio = model.factor(KIND, dear, now) / model.factor(KIND, cheap, now)
-    assert DEAR / 2 < ratio < DEAR * 2
+    now = learn(model, {cheap: 0.2, costly: 0.2 * COSTLY})
+    ratio = model.factor(KIND, costly, now) / model.factor(KIND, cheap, now)
+    assert COSTLY / 2 < ratio < COSTLY * 2
 
 
 def test_features_that_tell_nothing_are_not_used() -> None:
@@ -61,15 +61,15 @@
 
 def test_request_with_unknown_features_has_the_usual_cost() -> None:
     model = expected_cost.CostModel()
-    cheap, dear = CHEAP_AND_DEAR["path"]
-    now = learn(model, {cheap: 0.2, dear: 2.0})
+    cheap, costly = CHEAP_AND_COSTLY["path"]
+    now = learn(model, {cheap: 0.2, costly: 2.0})
     assert model.factor(KIND, features("/shop/other/1"), now) == 1.0
-    assert model.factor("other kind", dear, now) == 1.0
+    assert model.factor("other kind", costly, now) == 1.0
 
 
 def test_costs_that_change_are_learned_again() -> None:
     model = expected_cost.CostModel()
-    one, other = CHEAP_AND_DEAR["path"]
+    one, other = CHEAP_AND_COSTLY["path"]
     now = learn(model, {one: 0.2, other: 2.0})
     now = learn(model, {one: 2.0, other: 0.2}, start=now)
     assert model.factor(KIND, one, now) > 3 * model.factor(KIND, other, now)
@@ -77,10 +77,10 @@
 
 def test_costs_that_are_not_seen_any_more_are_forgotten() -> None:
     model = expected_cost.CostModel()
-    cheap, dear = CHEAP_AND_DEAR["path"]
-    now = learn(model, {cheap: 0.2, dear: 2.0})
+    cheap, costly = CHEAP_AND_COSTLY["path"]
+    now = learn(model, {cheap: 0.2, costly: 2.0})
     later = now + 10 * expected_cost.AGE_S
-    assert model.factor(KIND, dear, later) < 1.1
+    assert model.factor(KIND, costly, later) < 1.1
 
 
 def test_memory_is_bounded() -> None:
@@ -94,9 +94,9 @@
 
 def test_model_without_values_learns_nothing() -> None:
     model = expected_cost.CostModel(max_values=0)
-    cheap, dear = CHEAP_AND_DEAR["path"]
-    now = learn(model, {cheap: 0.2, dear: 2.0})
-    assert model.factor(KIND, dear, now) == 1.0
+    cheap, costly = CHEAP_AND_COSTLY["path"]
+    now = learn(model, {cheap: 0.2, costly: 2.0})
+    assert model.factor(KIND, costly, now) == 1.0
     assert not model.kinds
 
 
--- a/tests/test_server_queue.py
+++ b/tests/test_server_queue.py
@@ -143,6 +143,23 @@
     assert rejections[-1].retry_after_s > rejections[0].retry_after_s
 
 
+def test_retry_after_of_a_low_rank_is_no_longer_than_what_is_known() -> None:
+    """A rejected lookup of a higher rank says nothing about a second later."""
+    queue = server_queue.ServerQueue(4, 0.0)
+    queue.mean_service_s_by_kind = {"read": 0.2, "report": 1.6}
+    while not isinstance(queue.submit(READ, 0.0), server_queue.Rejected):
+        queue.start_next(0.0)
+    decision = queue.submit(REPORT, 0.0)
+    assert isinstance(decision, server_queue.Rejected)
+    assert decision.wait_s > 10.0
+    longest_s = (
+        server_queue.DECAY_S
+        + queue.backlog_s(0.0)
+        + server_queue.OVERLOAD_RETRY_AFTER_S
+    )
+    assert decision.retry_after_s < longest_s < 5.0
+
+
 def test_freed_slot_goes_to_the_next_request() -> None:
     queue = server_queue.ServerQueue(1, 0.0)
     queue.mean_service_s_by_kind = {"read": 0.05}
--- a/tests/test_uneven_costs.py
+++ b/tests/test_uneven_costs.py
@@ -17,14 +17,14 @@
 )
 
 CHEAP: typing.Final = ("cheap",)
-DEAR: typing.Final = ("dear",)
+COSTLY: typing.Final = ("costly",)
 CHEAP_S: typing.Final = 0.05
-DEAR_S: typing.Final = 0.5
+COSTLY_S: typing.Final = 0.5
 
 READ: typing.Final = server_queue.RequestProfile(
     0, "read", 0.6, 2.0, True, features=CHEAP
 )
-EXPORT: typing.Final = dataclasses.replace(READ, features=DEAR)
+EXPORT: typing.Final = dataclasses.replace(READ, features=COSTLY)
 
 
 def serve(
@@ -48,7 +48,7 @@
     now = 0.0
     for number in range(200):
         profile = READ if number % 4 else EXPORT
-        took_s = CHEAP_S if number % 4 else DEAR_S
+        took_s = CHEAP_S if number % 4 else COSTLY_S
         now = serve(queue, profile, took_s, now)
     return queue, now
 
@@ -60,7 +60,7 @@
 
 
 def test_backlog_is_the_work_that_is_left() -> None:
-    """As many requests are a long backlog if they are dear, or a short one."""
+    """As many requests are a long backlog if they are costly, or a short one."""
     backlogs_s = []
     for profile in (READ, EXPORT):
         queue, now = warm_queue(1)
@@ -99,12 +99,12 @@
     Other requests of the kind go on and keep its mean up to date.
     """
     queue, now = warm_queue(1)
-    hasty = dataclasses.replace(EXPORT, time_left_s=0.2)
+    urgent = dataclasses.replace(EXPORT, time_left_s=0.2)
     served = 0
     for _ in range(60):
         now += 0.5
         now = serve(queue, READ, CHEAP_S, now)
-        entry = queue.submit(hasty, now)
+        entry = queue.submit(urgent, now)
         assert isinstance(entry, server_queue.QueueEntry)
         if entry in queue.remove_expired(now):
             continue
@@ -129,7 +129,7 @@
 
 
 def test_server_that_gets_dear_requests_does_not_look_slow() -> None:
-    """Guards against dear requests that drive each other away."""
+    """Guards against costly requests that drive each other away."""
     means_s = []
     for cost in (0.2, 5.0):
         queue = server_queue.ServerQueue(3, 0.0)
@@ -212,7 +212,7 @@
 
 def test_backlog_counts_more_than_the_number_of_requests() -> None:
     few_dear = dataclasses.replace(
-        FREE, member=ids.MemberId("dear"), outstanding=4, backlog_s=2.0
+        FREE, member=ids.MemberId("costly"), outstanding=4, backlog_s=2.0
     )
     many_cheap = dataclasses.replace(
         FREE, member=ids.MemberId("cheap"), outstanding=5, backlog_s=0.1
@@ -243,7 +243,7 @@
 PROCESSES: typing.Final = 40
 STATUS_S: typing.Final = 0.5
 RATE_PER_S: typing.Final = 380.0
-DEAR_SHARE: typing.Final = 0.1
+COSTLY_SHARE: typing.Final = 0.1
 SECONDS: typing.Final = 20.0
 
 
@@ -305,16 +305,16 @@
         queue = queues[server]
         queue.remove_expired(now)
         for entry in queue.start_next(now):
-            dear = entry.profile.features == DEAR
-            took_s = (DEAR_S if dear else CHEAP_S) / SPEEDS[server]
+            costly = entry.profile.features == COSTLY
+            took_s = (COSTLY_S if costly else CHEAP_S) / SPEEDS[server]
             took_s *= rng.lognormvariate(0.0, 0.3)
             schedule(now + took_s, (server, entry))
 
     at = 0.0
     arrivals = in_time = 0
     while (at := at + rng.expovariate(RATE_PER_S)) < SECONDS:
-        dear = rng.random() < DEAR_SHARE
-        schedule(at, EXPORT if dear else READ)
+        costly = rng.random() < COSTLY_SHARE
+        schedule(at, EXPORT if costly else READ)
         arrivals += 1
     for server in range(len(SPEEDS)):
         for number in range(int(SECONDS / STATUS_S)):
