--- a/tests/test_uneven_costs.py
+++ b/tests/test_uneven_costs.py
@@ -60,7 +60,7 @@
 
 
 def test_backlog_is_the_work_that_is_left() -> None:
-    """As many requests are a long backlog if they are costly, or a short one."""
+    """As many requests are a long backlog if costly, or a short one."""
     backlogs_s = []
     for profile in (READ, EXPORT):
         queue, now = warm_queue(1)
