--- a/packages/bronzepaddle-node/src/bronzepaddle_node/keys/member_settings.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/keys/member_settings.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from bronzepaddle import ids, store_leases
+from bronzepaddle.load import store_reads
 
 
 @dataclasses.dataclass(frozen=True)
@@ -11,6 +12,8 @@
 
     ``max_hold_s`` limits how long one grant lets the server hold keys.
     ``first_start`` is set when the whole system starts for the first time.
+    ``readers`` is the number of members that read the ownership object for
+    all others.
     """
 
     name: ids.MemberId
@@ -19,3 +22,4 @@
     times: store_leases.StoreLeaseTimes
     max_hold_s: float
     first_start: bool
+    readers: int = store_reads.DEFAULT_READERS
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/keys/ownership_view.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/keys/ownership_view.py
@@ -20,11 +20,13 @@
     cells,
     clocks,
     ids,
+    key_digests,
     key_ranges,
     logs,
     store_leases,
     store_versions,
 )
+from bronzepaddle.load import store_reads
 from bronzepaddle_peers import rpc_client, statuses
 from bronzepaddle_store import store
 
@@ -38,6 +40,10 @@
 """Time for which statuses name the members affected by a write: several status
 intervals, because datagrams may be lost."""
 
+REPORT_READ_S: typing.Final = 2.0
+"""Time for which statuses report the last read: several status intervals,
+because datagrams may be lost."""
+
 PullOwnership: typing.TypeAlias = collections.abc.Callable[
     [cells.Address, statuses.OwnershipRequest],
     collections.abc.Awaitable[statuses.OwnershipReply],
@@ -105,6 +111,9 @@
         # The latest known era when the last read ended.
         self.read_in_era = ids.FIRST_ERA
         self.last_read: statuses.OwnershipRead | None = None
+        self.own_keys_digest = key_digests.UNKNOWN
+        # The newest version that a peer has reported since the last read.
+        self.newest_reported = store_versions.NO_VERSION
         self.status_sent_at: dict[int, float] = {}
         # Per peer, a lower bound for the time of its last read, taken from
         # its last status.
@@ -136,15 +145,41 @@
         self.last_read_at = float("-inf")
         self.wakeup.set()
 
-    def read_is_due(self) -> bool:
+    def read_is_due(self, is_planner: bool) -> bool:
         """Return whether the object should be read now.
 
-        That is at its time, and once when another call has shown a new era.
+        So it should once when another call has shown a new era.  The planner
+        reads as a reader does, since it writes new versions, and so does each
+        member while the object is unknown or has to be restored.
         """
         if self.object_store.eras.era > self.read_in_era:
             return True
-        since_s = self.clock.now() - self.last_read_at
-        return since_s >= self.settings.times.read_interval_s
+        now = self.clock.now()
+        state = store_reads.ReadState(
+            is_planner
+            or self.latest is None
+            or self.restoration.outdated is not None
+            or self._is_reader(now),
+            now - self.last_read_at,
+            self.lease.age_s(now),
+        )
+        reason = store_reads.decide(state, self.settings.times)
+        return reason is not store_reads.ReadReason.NOT_DUE
+
+    def _is_reader(self, now: float) -> bool:
+        """Return whether this member reads for all others."""
+        members = self.peer_table.staying_members(self.settings.service, now)
+        return self.settings.name in store_reads.readers(
+            members | {self.settings.name}, self.settings.readers
+        )
+
+    def reported_read(self) -> statuses.OwnershipRead | None:
+        """Return the read that the status of this process reports.
+
+        An old one would renew no lease any more.
+        """
+        read_ago_s = self.clock.now() - self.last_read_at
+        return self.last_read if read_ago_s < REPORT_READ_S else None
 
     async def read_store(self) -> None:
         """Read the object and renew the lease from the time of the read.
@@ -154,6 +189,7 @@
         """
         sent_at = self.clock.now()
         self.last_read_at = sent_at
+        self.newest_reported = store_versions.NO_VERSION
         last_received = self._last_received()
         try:
             stored = await self.object_store.get(self.object_name)
@@ -179,7 +215,9 @@
             VersionedOwnership(stored.version, ownership), sent_at
         )
         self.last_read = statuses.OwnershipRead(
-            stored.version.revision, last_received, stored.version.era
+            stored.version.revision,
+            tuple(self._with_digests(stored.version, last_received)),
+            stored.version.era,
         )
 
     def _process_read(self, read: VersionedOwnership, sent_at: float) -> None:
@@ -191,16 +229,39 @@
                 read.version, read.ownership, self.clock.now()
             )
 
-    def _last_received(self) -> tuple[statuses.LastReceived, ...]:
+    def _last_received(self) -> list[statuses.Status]:
         """Return the last status received from each other member."""
-        return tuple(
-            statuses.LastReceived(
-                statuses.run_hash(peer.status.sender, peer.status.incarnation),
-                peer.status.sequence,
-            )
+        return [
+            peer.status
             for peer in self.peer_table.of_service(self.settings.service)
             if peer.status.sender != self.settings.name
-        )
+        ]
+
+    def _with_digests(
+        self,
+        version: store_versions.StoreVersion,
+        last_received: collections.abc.Iterable[statuses.Status],
+    ) -> collections.abc.Iterator[statuses.LastReceived]:
+        """Yield what a read of a version says of each received status.
+
+        The digests of keys are unknown if that version is not in force.
+        """
+        latest = self.latest
+        digests: dict[ids.MemberId, key_digests.KeysDigest] = {}
+        without_keys = key_digests.UNKNOWN
+        if (
+            latest is not None
+            and latest.version == version
+            and latest.ownership is not None
+        ):
+            digests = key_digests.digests(latest.ownership)
+            without_keys = key_digests.digest(())
+        for status in last_received:
+            yield statuses.LastReceived(
+                statuses.run_hash(status.sender, status.incarnation),
+                status.sequence,
+                digests.get(status.sender, without_keys),
+            )
 
     def record_status_sent(self, sequence: int) -> None:
         """Record when a status is sent; a peer's read may refer to it."""
@@ -216,6 +277,7 @@
         before it read.
         """
         newer = status.store_version > self.version
+        self.newest_reported = max(self.newest_reported, status.store_version)
         if newer and (
             self.settings.name in status.affected_members or is_planner
         ):
@@ -229,13 +291,34 @@
         if newer and pull_newer and not self.pulling:
             self.pulling = True
             self.background_tasks.start(self._pull(status), "pull")
-        sent_at = self._own_status_sent_at(status.read)
-        if status.read is None or sent_at is None:
+        received = self._own_last_received(status.read)
+        if status.read is None or received is None:
+            return
+        sent_at = self.status_sent_at.get(received.sequence)
+        if sent_at is None:
             return
         self.peers_read_at[status.sender] = sent_at
-        if status.read.store_version == self.version:
+        if self._shows_own_keys(status.read, received):
             self.lease.renew(sent_at)
 
+    def _shows_own_keys(
+        self,
+        read: statuses.OwnershipRead,
+        received: statuses.LastReceived,
+    ) -> bool:
+        """Return whether a read showed the keys that this member knows.
+
+        It did if it found the version known here, or another one in which the
+        keys of this member are the same.
+        """
+        if read.store_version == self.version:
+            return True
+        return (
+            read.era == self.version.era
+            and received.keys != key_digests.UNKNOWN
+            and received.keys == self.own_keys_digest
+        )
+
     async def _pull(self, status: statuses.Status) -> None:
         """Pull a newer version from a peer.
 
@@ -295,18 +378,16 @@
         }
         return tuple(self.affected_at)
 
-    def _own_status_sent_at(
+    def _own_last_received(
         self, read: statuses.OwnershipRead | None
-    ) -> float | None:
-        """Return when this process sent the status that a read refers to.
+    ) -> statuses.LastReceived | None:
+        """Return the own status that a peer had received before a read.
 
-        It is the last one that the peer had received before it read.  None if
-        the read lists no status of this run, or one that is too old to be
-        remembered.
+        None if the read lists no status of this run.
         """
         for last_received in () if read is None else read.heard:
             if last_received.run == self.own_run_hash:
-                return self.status_sent_at.get(last_received.sequence)
+                return last_received
         return None
 
     def _adopt(
@@ -327,8 +408,10 @@
             self.lease.renew(sent_at)
         if candidate.ownership is None:
             self.own_ranges = []
+            self.own_keys_digest = key_digests.UNKNOWN
             return
         self.own_ranges = candidate.ownership.owned_by(self.settings.name)
+        self.own_keys_digest = key_digests.digest(self.own_ranges)
         now = self.clock.now()
         tokens = {key_range.token for key_range in self.own_ranges}
         self.first_seen_at = {
@@ -342,7 +425,8 @@
 
         Does not try while reads fail: each attempt would delay the renewal
         of grants by the timeout of a call.  Nor while the object has to be
-        restored: the latest known version is not in the store.
+        restored: the latest known version is not in the store.  A version that
+        a peer knows to be outdated is read anew first.
         """
         if (
             self.latest is None
@@ -350,6 +434,9 @@
             or self.restoration.outdated is not None
         ):
             return False
+        if self.newest_reported > self.version:
+            self.read_soon()
+            return False
         return await self.replace(self.latest.version, after)
 
     async def replace(
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/peer_table.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/peer_table.py
@@ -151,6 +151,16 @@
             if peer.status.service == service
         )
 
+    def staying_members(
+        self, service: ids.ServiceName, now: float
+    ) -> set[ids.MemberId]:
+        """Return the live processes of a service that are not leaving."""
+        return {
+            peer.status.sender
+            for peer in self.of_service(service)
+            if self.is_alive(peer, now) and not peer.status.leaving
+        }
+
     def eligible_peers(
         self,
         service: ids.ServiceName,
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/reconciler.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/reconciler.py
@@ -86,6 +86,7 @@
             settings.first_start,
             peers,
             self.started_at,
+            settings.readers,
         )
         self.lease_was_held = False
         self.lease_since = float("-inf")
@@ -116,7 +117,7 @@
     async def _step(self) -> None:
         now = self.clock.now()
         self._count_unheld(now)
-        if self.view.read_is_due():
+        if self.view.read_is_due(self.planner.is_planner):
             await self.view.read_store()
         self._log_lease_change()
         await self._restore()
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -245,6 +245,7 @@
                 settings.lease_times,
                 settings.max_hold_s,
                 settings.first_start,
+                settings.ownership_readers,
             ),
             self.store,
             self.tracker,
@@ -577,10 +578,11 @@
             held=self.held_keys.status_ranges(now),
             request_rate=self.local_backend.key_load.rate(),
             hot_keys=self.local_backend.key_load.hottest(),
-            read=self.reconciler.view.last_read,
+            read=self.reconciler.view.reported_read(),
             suspects=self.crash_detector.recent_changes(),
             affected_members=self.reconciler.view.affected_members(),
             store_era=self.reconciler.view.version.era,
+            store_reached=not self.reconciler.view.store_unreachable,
             evacuations=(
                 None
                 if self.evacuations is None
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/status_broadcast.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/status_broadcast.py
@@ -229,8 +229,8 @@
         if audience is Audience.ALL:
             self.next_to_all_at = now + self._interval_to_all_s()
         targets = self._targets(now)
-        # Only a member of a keyed service reads its ownership object.
-        self.keyed = status.read is not None
+        # Only a member of a keyed service knows its ownership object.
+        self.keyed = status.ownership_version != ids.NO_VERSION
         members = [
             name
             for name in targets
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/statuses.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/statuses.py
@@ -16,7 +16,7 @@
 
 import msgspec
 import xxhash
-from bronzepaddle import cells, ids, store_versions
+from bronzepaddle import cells, ids, key_digests, store_versions
 from bronzepaddle.load import key_load
 
 
@@ -49,10 +49,14 @@
 
 
 class LastReceived(msgspec.Struct, frozen=True, array_like=True):
-    """The last status received from a peer before a read of the store."""
+    """The last status received from a peer before a read of the store.
+
+    ``keys`` is the digest of the keys that the peer owned by the read.
+    """
 
     run: RunHash
     sequence: int
+    keys: key_digests.KeysDigest = key_digests.UNKNOWN
 
 
 class OwnershipRead(msgspec.Struct, frozen=True, array_like=True):
@@ -61,8 +65,9 @@
     A member that finds its own status in ``heard`` can conclude that the
     object had ``version`` after it sent that status, and may renew its lease
     from the time of sending.  In this way members that can't reach the store
-    keep their leases through the reads of members that can.  ``era`` is the
-    era of the store in which it had that version.
+    keep their leases through the reads of members that can.  So may a member
+    that knows another version, if its own keys are the same in both.
+    ``era`` is the era of the store in which the object had that version.
     """
 
     version: ids.ObjectVersion
@@ -139,6 +144,8 @@
     as last read, None if the sender doesn't know them.
 
     ``takes_parts`` is set if the sender takes large request bodies in parts.
+    ``store_reached`` is not set if its last read of the ownership object
+    failed.
     """
 
     sender: ids.MemberId
@@ -170,6 +177,7 @@
     store_era: ids.StoreEra = ids.FIRST_ERA
     evacuations: Evacuations | None = None
     takes_parts: bool = False
+    store_reached: bool = True
 
     @property
     def store_version(self) -> store_versions.StoreVersion:
--- a/packages/bronzepaddle/src/bronzepaddle/sidecar_options.py
+++ b/packages/bronzepaddle/src/bronzepaddle/sidecar_options.py
@@ -17,7 +17,7 @@
 import returns.result
 
 from bronzepaddle import ids, log_writer, options, store_leases
-from bronzepaddle.load import body_budget, expected_cost
+from bronzepaddle.load import body_budget, expected_cost, store_reads
 
 SIDECAR_FORM: typing.Final = "objects"
 """Value of ``[platform] form`` in the settings of a sidecar."""
@@ -37,7 +37,7 @@
     "peers": ("listen", "status-s", "link-mbps"),
     "platform": ("form", "address", "timeout-s", "calls-per-minute"),
     "backend": ("announce-ms", "threads", "cost-classes"),
-    "keys": ("lease-s", "read-s", "most-hold-ms", "work-hold-ms"),
+    "keys": ("lease-s", "read-s", "readers", "most-hold-ms", "work-hold-ms"),
     "evacuations": ("within-ms",),
     "retries": ("share", "slack"),
     "metrics": ("listen",),
@@ -70,8 +70,9 @@
     ``store`` is the endpoint of the platform's store.  The calls to it have a
     timeout, ``store_timeout_s``, and a limit, ``store_calls_per_minute``.
     ``lease_times`` are the times of the leases, under which this process may
-    act as the owner of keys.  ``max_hold_s`` limits how long one grant lets
-    the server hold keys.
+    act as the owner of keys.  ``ownership_readers`` is the number of members
+    of a service that read its ownership object for all others.
+    ``max_hold_s`` limits how long one grant lets the server hold keys.
 
     ``first_start`` is set when the whole system starts for the first time.
     ``grace_s`` is the time from the request to stop until the process must
@@ -105,6 +106,7 @@
     announce_s: float
     backend_threads: int
     lease_times: store_leases.StoreLeaseTimes
+    ownership_readers: int
     max_hold_s: float
     retry_share: float
     retry_slack: float
@@ -175,6 +177,9 @@
             / 1000,
             backend_threads=self.integer("backend", "threads", 32, 1, 1000),
             lease_times=self._lease_times(),
+            ownership_readers=self.integer(
+                "keys", "readers", store_reads.DEFAULT_READERS, 1, 1000
+            ),
             max_hold_s=self.number(
                 "keys", "most-hold-ms", 10_000.0, 100.0, 600_000.0
             )
--- a/packages/bronzepaddle/src/bronzepaddle/store_leases.py
+++ b/packages/bronzepaddle/src/bronzepaddle/store_leases.py
@@ -59,6 +59,10 @@
         """
         self.valid_until = max(self.valid_until, sent_at + self.times.lease_s)
 
+    def age_s(self, now: float) -> float:
+        """Return the time since the moment from which the lease counts."""
+        return now - (self.valid_until - self.times.lease_s)
+
     def remaining_s(self, now: float) -> float:
         """Return the time until this process must stop acting as owner."""
         return max(0.0, self.valid_until - self.times.margin_s - now)
--- a/tests/support/broken_reconcilers.py
+++ b/tests/support/broken_reconcilers.py
@@ -12,7 +12,7 @@
 from bronzepaddle import ids, key_ranges, store_leases
 from bronzepaddle_backend import connections, key_grants, key_reports
 from bronzepaddle_node import issued_grants, reconciler, reported_grants
-from bronzepaddle_node.keys import hold_times, server_grants
+from bronzepaddle_node.keys import hold_times, ownership_view, server_grants
 from bronzepaddle_peers import statuses
 
 _Patches: typing.TypeAlias = list[typing.Any]
@@ -357,6 +357,25 @@
     ]
 
 
+def _renewed_by_any_read() -> _Patches:
+    """Renew the lease by any read of a peer, whatever keys it showed."""
+
+    def shows_own_keys(*_arguments: object) -> bool:
+        return True
+
+    return [
+        unittest.mock.patch.object(
+            ownership_view.OwnershipView, "_shows_own_keys", shows_own_keys
+        )
+    ]
+
+
+READ_VARIANTS: typing.Final[
+    dict[str, collections.abc.Callable[[], _Patches]]
+] = {"renewed-by-any-read": _renewed_by_any_read}
+"""Variants that matter where few members read."""
+
+
 GRANT_END_VARIANTS: typing.Final[
     dict[str, collections.abc.Callable[[], _Patches]]
 ] = {
@@ -429,6 +448,7 @@
             | REPORT_VARIANTS
             | GRANT_END_VARIANTS
             | LONG_WORK_VARIANTS
+            | READ_VARIANTS
         )
         for patch in variants[variant]() if variant else []:
             stack.enter_context(patch)
--- a/tests/support/simulated_fleet.py
+++ b/tests/support/simulated_fleet.py
@@ -19,6 +19,7 @@
 
 import msgspec
 from bronzepaddle import cells, ids, key_ranges, route_table, store_leases
+from bronzepaddle.load import store_reads
 from bronzepaddle_backend import key_grants, key_reports, server_tracker
 from bronzepaddle_node import held_keys, peer_table, reconciler, tasks
 from bronzepaddle_node.keys import member_settings
@@ -89,6 +90,7 @@
                 MAX_HOLD_S,
                 # Simulated time starts at 1000 s.
                 first_start=fleet.loop.time() < 1002.0,
+                readers=fleet.readers,
             ),
             simulated_cell.FakeStoreClient(
                 fleet.store_server, name, self.clock
@@ -269,9 +271,10 @@
             table_version=ids.BundleVersion(1),
             ownership_version=self.reconciler.view.version.revision,
             held=self.held.status_ranges(now),
-            read=self.reconciler.view.last_read,
+            read=self.reconciler.view.reported_read(),
             affected_members=self.reconciler.view.affected_members(),
             store_era=self.reconciler.view.version.era,
+            store_reached=not self.reconciler.view.store_unreachable,
         )
 
     def receive_status(self, status: statuses.Status) -> None:
@@ -309,7 +312,8 @@
     seconds from ``command_delay_range_s`` and reports a lost command, and some
     releases report one as well.  ``send_delays_s`` are the delays by member
     between the decision on a grant and the sending of its command;
-    ``waiting_to_send`` are the members with such a command.
+    ``waiting_to_send`` are the members with such a command.  ``readers`` is
+    the number of members that read the ownership object for all others.
     """
 
     def __init__(
@@ -338,6 +342,7 @@
         # The distinct grants that servers have accepted.
         self.accepted: set[AcceptedToken] = set()
         self.last_start_ms = 1000
+        self.readers = store_reads.DEFAULT_READERS
 
     def start_server(self, name: str) -> None:
         """Start a new run of a server and end the earlier run, if any."""
