--- a/tests/test_truthful_refusals.py
+++ b/tests/test_truthful_refusals.py
@@ -15,7 +15,7 @@
 from bronzepaddle import cells, clocks, ids, verdicts
 from bronzepaddle_backend import connections
 from bronzepaddle_node import peer_table, router
-from bronzepaddle_peers import stream_client, stream_messages
+from bronzepaddle_peers import stream_client
 from support import local_processes, sample_status, scripted_server
 
 HOP_S: typing.Final = 0.05
@@ -93,19 +93,15 @@
         self.pending: dict[int, typing.Any] = {}
         self.outgoing: asyncio.Queue[typing.Any] = asyncio.Queue()
 
-    def send(
-        self, request: stream_messages.ForwardedRequest, pending: typing.Any
-    ) -> None:
-        self.pending[request.number] = pending
+    def send(self, pending: typing.Any) -> None:
+        self.pending[pending.request.number] = pending
 
 
 class SilentStream(UnconnectedStream):
     """A stream that writes everything and receives nothing."""
 
-    def send(
-        self, request: stream_messages.ForwardedRequest, pending: typing.Any
-    ) -> None:
-        super().send(request, pending)
+    def send(self, pending: typing.Any) -> None:
+        super().send(pending)
         pending.sent = True
 
 
