--- a/packages/bronzepaddle-node/src/bronzepaddle_node/keys/ownership_view.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/keys/ownership_view.py
@@ -40,6 +40,9 @@
 """Time for which statuses name the members affected by a write: several status
 intervals, because datagrams may be lost."""
 
+NEVER: typing.Final = float("-inf")
+"""The time of a read that has not been, or that is to be made anew."""
+
 REPORT_READ_S: typing.Final = 2.0
 """Time for which statuses report the last read: several status intervals,
 because datagrams may be lost."""
@@ -107,7 +110,7 @@
         self.latest: VersionedOwnership | None = None
         # The ranges that the latest known ownership assigns to this member.
         self.own_ranges: list[key_ranges.Range] = []
-        self.last_read_at = float("-inf")
+        self.last_read_at = NEVER
         # The latest known era when the last read ended.
         self.read_in_era = ids.FIRST_ERA
         self.last_read: statuses.OwnershipRead | None = None
@@ -142,17 +145,21 @@
 
     def read_soon(self) -> None:
         """Read the object at the next step, without waiting for its time."""
-        self.last_read_at = float("-inf")
+        self.last_read_at = NEVER
         self.wakeup.set()
 
     def read_is_due(self, is_planner: bool) -> bool:
         """Return whether the object should be read now.
 
-        So it should once when another call has shown a new era.  The planner
+        So it should after ``read_soon``, and once when another call has shown
+        a new era.  The planner
         reads as a reader does, since it writes new versions, and so does each
         member while the object is unknown or has to be restored.
         """
-        if self.object_store.eras.era > self.read_in_era:
+        if (
+            self.object_store.eras.era > self.read_in_era
+            or self.last_read_at == NEVER
+        ):
             return True
         now = self.clock.now()
         state = store_reads.ReadState(
@@ -462,7 +469,7 @@
             )
         except store.StoreError as error:
             # The next read shows whether the write took effect.
-            self.last_read_at = float("-inf")
+            self.last_read_at = NEVER
             logs.write_failed(self.object_name, repr(error))
             return False
         written = VersionedOwnership(version, after)
