--- a/packages/bronzepaddle-node/src/bronzepaddle_node/keys/ownership_view.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/keys/ownership_view.py
@@ -154,7 +154,8 @@
         So it should after ``read_soon``, and once when another call has shown
         a new era.  The planner
         reads as a reader does, since it writes new versions, and so does each
-        member while the object is unknown or has to be restored.
+        member while the object is unknown or has to be restored, or while its
+        last read has failed.
         """
         if (
             self.object_store.eras.era > self.read_in_era
@@ -166,6 +167,7 @@
             is_planner
             or self.latest is None
             or self.restoration.outdated is not None
+            or self.store_unreachable
             or self._is_reader(now),
             now - self.last_read_at,
             self.lease.age_s(now),
--- a/tests/test_store_reads.py
+++ b/tests/test_store_reads.py
@@ -180,7 +180,7 @@
     simulated_fleet.run_scenario(few_readers(scenario), seed)
 
 
-@pytest.mark.parametrize("seed", range(1, 21))
+@pytest.mark.parametrize("seed", [*range(1, 21), 58, 79])
 @pytest.mark.parametrize(
     "server_type", [fake_servers.FakeServer, fake_servers.ReportingServer]
 )
