Members read what others know for long, and count if they reach the store

Found in review: how long grants may last did not reach members that read seldom, and a planner that knows fewer members than others gave keys to none of those that don't read.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/keys/ownership_view.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/keys/ownership_view.py
@@ -117,6 +117,8 @@
         self.own_keys_digest = key_digests.UNKNOWN
         # The newest version that a peer has reported since the last read.
         self.newest_reported = store_versions.NO_VERSION
+        # Since when a newer one than the latest known has been reported.
+        self.newer_since = float("inf")
         self.status_sent_at: dict[int, float] = {}
         # Per peer, a lower bound for the time of its last read, taken from
         # its last status.
@@ -171,6 +173,7 @@
             or self._is_reader(now),
             now - self.last_read_at,
             self.lease.age_s(now),
+            now - self.newer_since,
         )
         reason = store_reads.decide(state, self.settings.times)
         return reason is not store_reads.ReadReason.NOT_DUE
@@ -199,6 +202,7 @@
         sent_at = self.clock.now()
         self.last_read_at = sent_at
         self.newest_reported = store_versions.NO_VERSION
+        self.newer_since = float("inf")
         last_received = self._last_received()
         try:
             stored = await self.object_store.get(self.object_name)
@@ -286,11 +290,13 @@
         before it read.
         """
         newer = status.store_version > self.version
+        if newer:
+            self.newer_since = min(self.newer_since, self.clock.now())
         self.newest_reported = max(self.newest_reported, status.store_version)
         if newer and (
             self.settings.name in status.affected_members or is_planner
         ):
-            # For all others the next periodic read is soon enough.  If each
+            # For all others a read some time later is soon enough.  If each
             # member read each version at once, the number of reads would
             # grow quadratically with the fleet.
             self.read_soon()
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/planning.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/planning.py
@@ -20,7 +20,6 @@
 import typing
 
 from bronzepaddle import ids, key_assignment, key_ranges, logs
-from bronzepaddle.load import store_reads
 from bronzepaddle_peers import statuses
 
 from bronzepaddle_node import peer_table
@@ -45,7 +44,6 @@
 class Planner:
     """Computes the next assignment in one member; for the event loop only.
 
-    ``readers`` is the number of members that read for all others.
     ``first_start`` is set when the whole system starts for the first time.  If
     it is not set, a member that finds no ownership object plans at once; in
     all other cases it first waits for ``FIRST_PLAN_DELAY_S``.
@@ -58,14 +56,12 @@
         first_start: bool,
         peers: peer_table.PeerTable,
         started_at: float,
-        readers: int = store_reads.DEFAULT_READERS,
     ) -> None:
         self.name = name
         self.service = service
         self.first_start = first_start
         self.peer_table = peers
         self.started_at = started_at
-        self.readers = readers
         self.planned_at = float("-inf")
         # Whether this member was the planner at the last call of
         # ``next_ownership``.
@@ -94,16 +90,12 @@
         readers = members
         if ownership is not None and now - lease_since >= RECENT_READ_S:
             # An object that does not exist yet has not been read by anyone.
-            periodic = store_reads.readers(
-                self.peer_table.staying_members(self.service, now),
-                self.readers,
-            )
             readers = {
                 member
                 for member in members
                 if member == self.name
                 or now - read_at.get(member, float("-inf")) < RECENT_READ_S
-                or (member not in periodic and self._reaches_store(member))
+                or self._reaches_store(member)
             }
         self.is_planner = self._is_first_by_name(now, readers)
         if not self.is_planner:
@@ -117,7 +109,10 @@
         )
 
     def _reaches_store(self, member: ids.MemberId) -> bool:
-        """Return whether a member that reads seldom can read when it must."""
+        """Return whether a member that reads seldom can read when it must.
+
+        It says so itself, since its last read may have been long ago.
+        """
         status = self.peer_table.peers[member].status
         return status.store_reached and status.store_version.revision > 0
 
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/reconciler.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/reconciler.py
@@ -87,7 +87,6 @@
             settings.first_start,
             peers,
             self.started_at,
-            settings.readers,
         )
         self.lease_was_held = False
         self.lease_since = float("-inf")
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/statuses.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/statuses.py
@@ -144,8 +144,8 @@
     as last read, None if the sender doesn't know them.
 
     ``takes_parts`` is set if the sender takes large request bodies in parts.
-    ``store_reached`` is not set if its last read of the ownership object
-    failed.
+    ``store_reached`` is set if its last read of the ownership object
+    succeeded.
     """
 
     sender: ids.MemberId
@@ -177,7 +177,7 @@
     store_era: ids.StoreEra = ids.FIRST_ERA
     evacuations: Evacuations | None = None
     takes_parts: bool = False
-    store_reached: bool = True
+    store_reached: bool = False
 
     @property
     def store_version(self) -> store_versions.StoreVersion:
--- a/packages/bronzepaddle/src/bronzepaddle/load/store_reads.py
+++ b/packages/bronzepaddle/src/bronzepaddle/load/store_reads.py
@@ -4,7 +4,8 @@
 its lease, so that the calls to the store grow with the members.  A read by one
 member can renew the leases of all others.  Therefore a few members, the
 readers, read periodically; any other one reads only if the renewals that it
-gets by way of them fail to come.  The module only decides;
+gets by way of them fail to come, or for a version that has been in force for
+some time.  The module only decides;
 ``ownership_view`` reads.
 """
 
@@ -29,12 +30,19 @@
 lease was renewed meanwhile."""
 
 
+MAX_OUTDATED_S: typing.Final = 2.0
+"""Time after which a member reads a newer version that doesn't concern its
+keys, as others report.  While each second brings a version, one read in this
+time is enough."""
+
+
 class ReadReason(enum.Enum):
     """Why a member reads the object now, or that it does not."""
 
     NOT_DUE = "not-due"
     READER = "reader"
     LEASE_NOT_RENEWED = "lease-not-renewed"
+    OUTDATED = "outdated"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -43,12 +51,14 @@
 
     ``is_reader`` is set if it should read periodically.  ``since_read_s`` is
     the time since its last read, ``lease_age_s`` the time since the moment
-    from which its lease counts.
+    from which its lease counts, ``outdated_s`` the time for which it has known
+    of a newer version, negative if of none.
     """
 
     is_reader: bool
     since_read_s: float
     lease_age_s: float
+    outdated_s: float
 
 
 def decide(
@@ -61,6 +71,8 @@
         return ReadReason.READER
     if state.lease_age_s >= MAX_LEASE_AGE_SHARE * times.lease_s:
         return ReadReason.LEASE_NOT_RENEWED
+    if state.outdated_s >= MAX_OUTDATED_S:
+        return ReadReason.OUTDATED
     return ReadReason.NOT_DUE
 
 
--- a/tests/test_store_reads.py
+++ b/tests/test_store_reads.py
@@ -28,22 +28,26 @@
 
 
 @pytest.mark.parametrize(
-    ("is_reader", "since_read_s", "lease_age_s", "reason"),
+    ("is_reader", "since_read_s", "lease_age_s", "outdated_s", "reason"),
     [
-        (True, 0.1, 9.0, store_reads.ReadReason.NOT_DUE),
-        (True, 0.8, 0.1, store_reads.ReadReason.READER),
-        (False, 9.0, 1.4, store_reads.ReadReason.NOT_DUE),
-        (False, 9.0, 1.5, store_reads.ReadReason.LEASE_NOT_RENEWED),
-        (False, 0.1, 9.0, store_reads.ReadReason.NOT_DUE),
+        (True, 0.1, 9.0, 9.0, store_reads.ReadReason.NOT_DUE),
+        (True, 0.8, 0.1, -1.0, store_reads.ReadReason.READER),
+        (False, 9.0, 1.4, 1.9, store_reads.ReadReason.NOT_DUE),
+        (False, 9.0, 1.5, -1.0, store_reads.ReadReason.LEASE_NOT_RENEWED),
+        (False, 9.0, 0.1, 2.0, store_reads.ReadReason.OUTDATED),
+        (False, 0.1, 9.0, 9.0, store_reads.ReadReason.NOT_DUE),
     ],
 )
 def test_member_reads_as_reader_or_if_its_lease_is_not_renewed(
     is_reader: bool,
     since_read_s: float,
     lease_age_s: float,
+    outdated_s: float,
     reason: store_reads.ReadReason,
 ) -> None:
-    state = store_reads.ReadState(is_reader, since_read_s, lease_age_s)
+    state = store_reads.ReadState(
+        is_reader, since_read_s, lease_age_s, outdated_s
+    )
     assert store_reads.decide(state, TIMES) is reason
 
 
@@ -164,6 +168,71 @@
         assert fleet.all_keys_served()
 
 
+async def outage_ends(fleet: simulated_fleet.SimulatedFleet) -> None:
+    """Check that a member that reads seldom doesn't stay without the store."""
+    await simulated_fleet.start_all(fleet)
+    fleet.store_server.faults = simulated_cell.StoreFaults(down=True)
+    await asyncio.sleep(2.5)
+    fleet.store_server.faults = simulated_cell.StoreFaults()
+    await asyncio.sleep(OBSERVED_S)
+    for process in fleet.processes.values():
+        assert not process.reconciler.view.store_unreachable
+
+
+async def version_changes_no_keys(
+    fleet: simulated_fleet.SimulatedFleet,
+) -> None:
+    """Check that all learn how long grants may last."""
+    await simulated_fleet.start_all(fleet)
+    view = fleet.processes[simulated_fleet.MEMBERS[0]].reconciler.view
+    assert view.latest is not None
+    assert view.latest.ownership is not None
+    longer = msgspec.structs.replace(view.latest.ownership, longest_hold_s=2.0)
+    assert await view.write(longer)
+    await asyncio.sleep(OBSERVED_S)
+    for process in fleet.processes.values():
+        hold_times = process.reconciler.grants.hold_times
+        assert hold_times.recorded_longest_s() == 2.0
+
+
+async def planner_sees_fewer_members(
+    fleet: simulated_fleet.SimulatedFleet,
+) -> None:
+    """Check that members that don't read get keys if they count as readers.
+
+    The planner doesn't hear of one member, and all of those that it knows
+    would be readers.
+    """
+    await simulated_fleet.start_all(fleet)
+    planner, unheard = simulated_fleet.MEMBERS[:2]
+    fleet.cut_links.add(frozenset((planner, unheard)))
+    await asyncio.sleep(2 * OBSERVED_S)
+    owners = {
+        key_range.holder.member
+        for key_range in simulated_fleet.stored_ownership(fleet).ranges
+    }
+    # The two don't hear each other; whichever plans, the other gets none.
+    assert len(owners) == len(simulated_fleet.MEMBERS) - 1
+    assert not owners >= {planner, unheard}
+
+
+LARGER_FLEET: typing.Final = NAMES[:7]
+"""The smallest number of members of which only three read."""
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize(
+    "scenario",
+    [outage_ends, version_changes_no_keys, planner_sees_fewer_members],
+    ids=lambda scenario: scenario.__name__,
+)
+def test_scenario_with_seven_members(
+    scenario: simulated_fleet.Scenario, seed: int
+) -> None:
+    with unittest.mock.patch.object(simulated_fleet, "MEMBERS", LARGER_FLEET):
+        simulated_fleet.run_scenario(scenario, seed)
+
+
 SCENARIOS: typing.Final = (
     keys_of_a_member_without_the_store_move,
     store_is_out_of_reach_for_all_readers,
