--- a/packages/bronzepaddle-node/src/bronzepaddle_node/status_broadcast.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/status_broadcast.py
@@ -229,8 +229,9 @@
         if audience is Audience.ALL:
             self.next_to_all_at = now + self._interval_to_all_s()
         targets = self._targets(now)
-        # Only a member of a keyed service knows its ownership object.
-        self.keyed = status.ownership_version != ids.NO_VERSION
+        # Only a member of a keyed service reads its ownership object, if
+        # perhaps seldom.
+        self.keyed = self.keyed or status.read is not None
         members = [
             name
             for name in targets
