--- a/packages/bronzepaddle-node/src/bronzepaddle_node/planning.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/planning.py
@@ -95,6 +95,7 @@
                 for member in members
                 if member == self.name
                 or now - read_at.get(member, float("-inf")) < RECENT_READ_S
+                or self._reaches_store(member)
             }
         self.is_planner = self._is_first_by_name(now, readers)
         if not self.is_planner:
@@ -107,6 +108,14 @@
             list(self._member_loads(now, readers, rebalance)),
         )
 
+    def _reaches_store(self, member: ids.MemberId) -> bool:
+        """Return whether a member that reads seldom can read when it must.
+
+        It says so itself, since its last read may have been long ago.
+        """
+        status = self.peer_table.peers[member].status
+        return status.store_reached and status.store_version.revision > 0
+
     def rank(self, now: float) -> int:
         """Return the number of live members before this one by name."""
         return sum(
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/reconciler.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/reconciler.py
@@ -117,7 +117,7 @@
     async def _step(self) -> None:
         now = self.clock.now()
         self._count_unheld(now)
-        if self.view.read_is_due():
+        if self.view.read_is_due(self.planner.is_planner):
             await self.view.read_store()
         self._log_lease_change()
         await self._restore()
