--- a/packages/bronzepaddle-node/src/bronzepaddle_node/program.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/program.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import collections.abc
+import dataclasses
 import os
 import pathlib
 import signal
@@ -28,6 +30,18 @@
 """
 
 
+@dataclasses.dataclass(frozen=True)
+class _SettingsFile:
+    """The settings file, and what the command line replaces of it.
+
+    ``content`` is that of the file before the settings were read from it.
+    """
+
+    path: pathlib.Path
+    content: bytes
+    overrides: options.Overrides
+
+
 @click.command()
 @click.option(
     "--config",
@@ -35,18 +49,40 @@
     type=click.Path(path_type=pathlib.Path),
     help="Settings of this process, an INI file.",
 )
+@click.option(
+    "--set",
+    "overrides",
+    multiple=True,
+    metavar="SECTION.KEY=VALUE",
+    callback=lambda _context, _parameter, texts: _overrides(texts),
+    help="A setting that replaces that of the file, unless VALUE is empty.",
+)
 @click.pass_obj
-def main(early: early_reload.EarlyReload, config: pathlib.Path) -> None:
+def main(
+    early: early_reload.EarlyReload,
+    config: pathlib.Path,
+    overrides: options.Overrides,
+) -> None:
     """Run one process of the system until SIGTERM or SIGINT."""
     if sidecar_options.is_sidecar_file(config):
-        _run_sidecar(config, early)
+        _run_sidecar(config, overrides, early)
     else:
-        _run_node(config)
+        _run_node(config, overrides)
+
 
+def _overrides(
+    texts: collections.abc.Iterable[str],
+) -> tuple[options.Override, ...]:
+    """Parse the settings of the command line."""
+    try:
+        return tuple(options.parse_override(text) for text in texts)
+    except ValueError as error:
+        raise click.BadParameter(str(error)) from error
 
-def _run_node(config: pathlib.Path) -> None:
+
+def _run_node(config: pathlib.Path, overrides: options.Overrides) -> None:
     """Run a process whose lease other members extend by acknowledgements."""
-    match options.load(config):
+    match options.load(config, overrides):
         case returns.result.Success(settings):
             asyncio.run(_serve_node(settings))
             _exit_now()
@@ -66,17 +102,20 @@
 
 
 def _run_sidecar(
-    config: pathlib.Path, early: early_reload.EarlyReload
+    config: pathlib.Path,
+    overrides: options.Overrides,
+    early: early_reload.EarlyReload,
 ) -> None:
     """Run a process whose leases depend on reads of the store."""
     content = config.read_bytes()
-    match sidecar_options.load(config):
+    match sidecar_options.load(config, overrides):
         case returns.result.Success(settings):
             log = log_writer.Writer(
                 log_writer.to_descriptor(sys.stdout.fileno()), settings.log
             )
             eliot.add_destinations(log.enqueue)
-            asyncio.run(_serve_sidecar(config, content, settings, log, early))
+            file = _SettingsFile(config, content, overrides)
+            asyncio.run(_serve_sidecar(file, settings, log, early))
             log.close(LOG_CLOSE_TIMEOUT_S)
             _exit_now()
         case returns.result.Failure(errors):
@@ -86,16 +125,12 @@
 
 
 async def _serve_sidecar(
-    config: pathlib.Path,
-    content: bytes,
+    file: _SettingsFile,
     settings: sidecar_options.SidecarOptions,
     log: log_writer.Writer,
     early: early_reload.EarlyReload,
 ) -> None:
-    """Serve until SIGTERM or SIGINT, then stop; reload on SIGHUP.
-
-    ``content`` is that of the file before ``settings`` were read from it.
-    """
+    """Serve until SIGTERM or SIGINT, then stop; reload on SIGHUP."""
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
@@ -105,7 +140,9 @@
     from bronzepaddle_node import reloading, sidecar
 
     process = sidecar.Sidecar(settings, log)
-    reloader = reloading.Reloader(config, process.reconfigure, content)
+    reloader = reloading.Reloader(
+        file.path, process.reconfigure, file.content, file.overrides
+    )
     loop.add_signal_handler(signal.SIGHUP, reloader.request_reload)
     if early.requested:
         reloader.request_reload()
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/reloading.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/reloading.py
@@ -12,7 +12,7 @@
 import typing
 
 import returns.result
-from bronzepaddle import logs, sidecar_options
+from bronzepaddle import logs, options, sidecar_options
 
 CHECK_INTERVAL_S: typing.Final = 1.0
 
@@ -25,15 +25,21 @@
     """Watches a settings file and passes changed settings to ``apply``.
 
     ``content`` is that of the file whose settings are in effect.
+    ``overrides`` replace settings of each content.
     """
 
     def __init__(
-        self, path: pathlib.Path, apply: Apply, content: bytes
+        self,
+        path: pathlib.Path,
+        apply: Apply,
+        content: bytes,
+        overrides: options.Overrides = (),
     ) -> None:
         self.path = path
         self.apply = apply
         self.reload_requested = asyncio.Event()
         self.content = content
+        self.overrides = overrides
 
     def request_reload(self) -> None:
         """Check the file now instead of at the next interval."""
@@ -55,7 +61,7 @@
         if content == self.content:
             return
         self.content = content
-        match sidecar_options.load(self.path):
+        match sidecar_options.load(self.path, self.overrides):
             case returns.result.Success(settings):
                 self.apply(settings)
                 logs.process("reloaded", str(self.path))
--- a/packages/bronzepaddle/src/bronzepaddle/options.py
+++ b/packages/bronzepaddle/src/bronzepaddle/options.py
@@ -107,9 +107,36 @@
 ]
 
 
-def load(path: pathlib.Path) -> OptionsResult:
+@dataclasses.dataclass(frozen=True)
+class Override:
+    """A setting of the command line that replaces one of the file.
+
+    An empty ``value`` leaves the setting as it is in the file.
+    """
+
+    section: str
+    key: str
+    value: str
+
+
+Overrides: typing.TypeAlias = collections.abc.Sequence[Override]
+
+
+def parse_override(text: str) -> Override:
+    """Parse ``SECTION.KEY=VALUE``.
+
+    Raises ``ValueError`` if the text has another form.
+    """
+    name, equals, value = text.partition("=")
+    section, dot, key = name.partition(".")
+    if not (equals and dot and section and key):
+        raise ValueError(f"{text!r} is not SECTION.KEY=VALUE")
+    return Override(section, key, value)
+
+
+def load(path: pathlib.Path, overrides: Overrides = ()) -> OptionsResult:
     """Return the settings in a file, or all errors in them."""
-    return load_with(path, _Reader, _Reader.options)
+    return load_with(path, _Reader, _Reader.options, overrides)
 
 
 _Settings = typing.TypeVar("_Settings")
@@ -120,6 +147,7 @@
     path: pathlib.Path,
     reader_type: type[_ReaderType],
     read: collections.abc.Callable[[_ReaderType], _Settings],
+    overrides: Overrides = (),
 ) -> returns.result.Result[_Settings, tuple[OptionsError, ...]]:
     """Read a settings file with ``read``; return its result or all errors."""
     parser = configparser.ConfigParser(interpolation=None, strict=True)
@@ -130,6 +158,11 @@
         return returns.result.Failure(
             (OptionsError(str(path), "", "", detail),)
         )
+    for override in overrides:
+        if override.value:
+            if not parser.has_section(override.section):
+                parser.add_section(override.section)
+            parser.set(override.section, override.key, override.value)
     reader = reader_type(path, parser)
     settings = read(reader)
     if reader.errors:
--- a/packages/bronzepaddle/src/bronzepaddle/sidecar_options.py
+++ b/packages/bronzepaddle/src/bronzepaddle/sidecar_options.py
@@ -124,9 +124,11 @@
 ]
 
 
-def load(path: pathlib.Path) -> SidecarResult:
+def load(
+    path: pathlib.Path, overrides: options.Overrides = ()
+) -> SidecarResult:
     """Return the settings in a file, or all errors in them."""
-    return options.load_with(path, _Reader, _Reader.settings)
+    return options.load_with(path, _Reader, _Reader.settings, overrides)
 
 
 def is_sidecar_file(path: pathlib.Path) -> bool:
--- a/review/harness.py
+++ b/review/harness.py
@@ -707,9 +707,7 @@
             "limits.link_mbps": str(self.fleet.link_mbps),
             "platform.address": self.fleet.store.address,
             "heartbeat_ms": str(round(HEARTBEAT_S * 1000)),
-            "limits.memory_mb": "300",
             "bounds.max_hold_ms": "10000",
-            "bounds.evacuate_ms": "5000",
             "bounds.retry_budget_ratio": "0.2",
             "bounds.budget_slack": "60",
         }
--- a/tests/test_sidecar_options.py
+++ b/tests/test_sidecar_options.py
@@ -6,7 +6,7 @@
 
 import pytest
 import returns.result
-from bronzepaddle import sidecar_options
+from bronzepaddle import options, sidecar_options
 from bronzepaddle_node import reloading
 
 TEMPLATE: typing.Final = (
@@ -36,11 +36,11 @@
 
 
 def load(
-    folder: pathlib.Path, text: str
+    folder: pathlib.Path, text: str, overrides: options.Overrides = ()
 ) -> tuple[sidecar_options.SidecarOptions | None, list[str]]:
     path = folder / "node.ini"
     path.write_text(text, encoding="utf-8")
-    match sidecar_options.load(path):
+    match sidecar_options.load(path, overrides):
         case returns.result.Success(settings):
             return settings, []
         case returns.result.Failure(errors):
@@ -96,6 +96,66 @@
     assert any(location in error for error in errors)
 
 
+@pytest.mark.parametrize(
+    ("text", "memory_mb"),
+    [
+        ("process.memory-mb=300", 300),
+        ("process.memory-mb=", 250),
+        ("evacuations.within-ms=", 250),
+    ],
+)
+def test_settings_of_the_command_line_come_first(
+    tmp_path: pathlib.Path, text: str, memory_mb: int
+) -> None:
+    """An empty value leaves the setting, and the section, as it is."""
+    content = VALID.replace("name = one", "name = one\nmemory-mb = 250")
+    settings, errors = load(tmp_path, content, [options.parse_override(text)])
+    assert errors == []
+    assert settings is not None
+    assert settings.memory_mb == memory_mb
+    assert settings.evacuate_within_s is None
+
+
+@pytest.mark.parametrize(
+    ("text", "location"),
+    [
+        ("process.memory-mb=much", "[process] memory-mb"),
+        ("process.colour=red", "[process] colour"),
+        ("colours.first=red", "[colours]"),
+    ],
+)
+def test_bad_settings_of_the_command_line_are_errors(
+    tmp_path: pathlib.Path, text: str, location: str
+) -> None:
+    _, errors = load(tmp_path, VALID, [options.parse_override(text)])
+    assert any(location in error for error in errors)
+
+
+@pytest.mark.parametrize("text", ["", "process", "process=1", ".a=1", "a.=1"])
+def test_setting_without_a_section_key_and_value_is_an_error(
+    text: str,
+) -> None:
+    with pytest.raises(ValueError, match=r"SECTION\.KEY=VALUE"):
+        options.parse_override(text)
+
+
+def test_settings_of_the_command_line_stay_after_a_change(
+    tmp_path: pathlib.Path,
+) -> None:
+    applied: list[int] = []
+    load(tmp_path, VALID)
+    path = tmp_path / "node.ini"
+    reloader = reloading.Reloader(
+        path,
+        lambda settings: applied.append(settings.memory_mb),
+        path.read_bytes(),
+        [options.parse_override("process.memory-mb=300")],
+    )
+    path.write_text(VALID.replace("0.2", "0.3"), encoding="utf-8")
+    reloader.check()
+    assert applied == [300]
+
+
 def test_valid_changes_are_applied_and_invalid_ones_are_not(
     tmp_path: pathlib.Path,
 ) -> None:
