--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -33,6 +33,12 @@
 SCRIPT_LIMIT_S: typing.Final = 115.0
 """A script that runs longer could not run."""
 
+HOST: typing.Final = "127." + ".".join(
+    str(random.randrange(1, 255)) for _ in range(3)
+)
+"""Address of the loopback interface, another one in each run, so that scripts
+that run beside each other don't take each other's ports."""
+
 PORTS: typing.Final = (20_000, 32_000)
 
 HEARTBEAT_S: typing.Final = 0.87
@@ -144,7 +150,7 @@
 
     async def start(self, address: str = "") -> None:
         """Listen, at an address that another one had if one is given."""
-        self.address = address or f"127.0.0.1:{free_port()}"
+        self.address = address or f"{HOST}:{free_port()}"
         host, _, port = self.address.rpartition(":")
         self.server = await asyncio.start_server(
             self._on_connection, host, int(port), limit=1 << 20
@@ -560,7 +566,7 @@
         if port in _used_ports:
             continue
         with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind(("127.0.0.1", port))
+            probe.bind((HOST, port))
             _used_ports.add(port)
             return port
 
@@ -578,7 +584,7 @@
     ) -> None:
         self.rig = rig
         self.name = name
-        ports = [f"127.0.0.1:{free_port()}" for _ in range(5)]
+        ports = [f"{HOST}:{free_port()}" for _ in range(5)]
         self.callers, self.ready, self.control, peers, metrics = ports
         self.path = rig.folder / f"{name}.ini"
         self.process: subprocess.Popen[bytes] | None = None
@@ -752,6 +758,8 @@
 
 def main(case: Case, folder: pathlib.Path) -> typing.NoReturn:
     """Play a case and exit with its result."""
+    # The processes are ended before the exit.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     record = Record(folder)
     record(f"TROUBLE={int(trouble())}")
     with tempfile.TemporaryDirectory() as temporary:
