Send the grants under a token to one run of a server only

Callers of keyed services could get work of two runs of a server done under one fencing token: after a crash the next run, up again at the same address before its first report, took the ranges of the run before.

Cause: a grant went to an address.

Change: each connection is recorded with the run that it leads to. A new one leads to the run of any older one that is still open. Else the server is asked for its id by its health check, and a token that another run under the same id may get is replaced.

--- a/packages/bronzepaddle-backend/src/bronzepaddle_backend/connections.py
+++ b/packages/bronzepaddle-backend/src/bronzepaddle_backend/connections.py
@@ -31,6 +31,8 @@
 )
 from bronzepaddle.load import body_budget, server_queue
 
+from bronzepaddle_backend import reached_runs
+
 CONNECT_TIMEOUT_S: typing.Final = 0.5
 
 MIN_TIMEOUT_S: typing.Final = 0.01
@@ -63,6 +65,9 @@
 
 ROOM_POLL_S: typing.Final = 0.05
 
+NAMING_TIMEOUT_S: typing.Final = 0.5
+"""Timeout of a health request that asks a server for its id."""
+
 _CONNECTION_ERRORS: typing.Final = (
     urllib3.exceptions.HTTPError,
     http.client.HTTPException,
@@ -80,8 +85,9 @@
     ``deadline_ms``, the remaining time in milliseconds, ``server_id``, the id
     of the server that the request is for, and ``caller_service``.  Received:
     ``not_run`` marks the response to a request that the server did not run;
-    ``signature`` marks responses made by the server itself and ``server_load``
-    contains the server's load; each is empty if the deployment has no such
+    ``signature`` marks responses made by the server itself, ``server_load``
+    contains the server's load and ``named_id`` the id of the server in the
+    response to a health request; each is empty if the deployment has no such
     header.
     """
 
@@ -92,6 +98,7 @@
     not_run: str
     signature: str
     server_load: str = ""
+    named_id: str = ""
 
     def reserved_names(self) -> frozenset[str]:
         """Return the names that only this process may set, in lower case."""
@@ -118,6 +125,31 @@
     idempotent: bool
 
 
+@dataclasses.dataclass(frozen=True)
+class Recipient:
+    """The run of the server that a command is for.
+
+    ``server_id`` is its id, ``health_path`` the path at which the server names
+    its id.  ``reached`` is the run that the last command for it has reached,
+    None if there was none.
+    """
+
+    server_id: str
+    health_path: str
+    reached: reached_runs.ReachedRun | None = None
+
+
+class CommandResponse(typing.NamedTuple):
+    """The status and the headers of the response to a command.
+
+    ``reached`` is the run that has sent it.
+    """
+
+    status: int
+    headers: urllib3.HTTPHeaderDict
+    reached: reached_runs.ReachedRun
+
+
 class Cancellation:
     """Allows another thread to cancel a request that is being sent."""
 
@@ -188,6 +220,9 @@
         self.lock = threading.Lock()
         self.idle: list[_IdleConnection] = []
         self.closed = False
+        self.reached_runs = reached_runs.ReachedRuns()
+        # Whether the server has closed a connection after a response.
+        self.closed_by_server = False
         # Bytes of all responses that are being read now.
         self.buffered_bytes = 0
 
@@ -254,20 +289,33 @@
     def _acquire(
         self, max_idle_s: float, timeout_s: float
     ) -> bounded_http.Connection:
-        """Return an idle connection that is still usable, or a new one."""
-        idle = self._idle_connection(max_idle_s)
-        return self._connect(timeout_s) if idle is None else idle
+        """Return an idle connection that is still usable, or a new one.
+
+        Connections that were idle for too long are closed only then: they
+        show whether a new one leads to the same run of the server.
+        """
+        unusable: list[bounded_http.Connection] = []
+        try:
+            idle = self._idle_connection(max_idle_s, unusable)
+            return self._connect(timeout_s) if idle is None else idle
+        finally:
+            for connection in unusable:
+                connection.close()
 
     def _connect(self, timeout_s: float) -> bounded_http.Connection:
         """Return a new connection."""
         connection = bounded_http.connection(self.host, self.port, timeout_s)
         connection.connect()
+        self.reached_runs.add(connection)
         return connection
 
     def _idle_connection(
-        self, max_idle_s: float
+        self, max_idle_s: float, unusable: list[bounded_http.Connection]
     ) -> bounded_http.Connection | None:
-        """Take a usable connection from the pool; None if there is none."""
+        """Take a usable connection from the pool; None if there is none.
+
+        Those before it that can't be used are added to ``unusable``.
+        """
         now = self.time_now()
         while True:
             with self.lock:
@@ -278,7 +326,7 @@
                 entry.connection
             ):
                 return entry.connection
-            entry.connection.close()
+            unusable.append(entry.connection)
 
     def _exchange(
         self,
@@ -295,6 +343,7 @@
         if left_s <= MIN_TIMEOUT_S:
             self._make_idle(connection)
             return self._reject(verdicts.Reason.TOO_LATE)
+        reached = self.reached_runs.run_of(connection)
         connection.timeout = left_s
         connection.sock.settimeout(left_s)
         connection.request(
@@ -308,6 +357,9 @@
         )
         response = connection.getresponse()
         rejection = self._check_response(request, response)
+        if rejection is None and self.header_names.server_id:
+            # Another server would have refused the request.
+            self.reached_runs.record_id(reached, request.server_id)
         body = self._read_body(response, request.deadline)
         result = rejection or http_messages.Response(
             status=response.status,
@@ -479,8 +531,9 @@
         build_body: collections.abc.Callable[[], bytes],
         timeout_s: float,
         reuse: bool = True,
-    ) -> tuple[int, urllib3.HTTPHeaderDict]:
-        """Send a command by ``POST``; return the status and the headers.
+        recipient: Recipient | None = None,
+    ) -> CommandResponse:
+        """Send a command by ``POST``; return its response.
 
         ``build_body`` is called once the server is connected, just before the
         command is written.  It may raise ``CommandNotSentError``.
@@ -489,6 +542,8 @@
         commands carry no id, so that one to an earlier command, sent again on
         a kept connection, would be taken for that to this one.
 
+        With a ``recipient``, the command is written only to that run.
+
         Raises ``CommandNotSentError`` if the command can't be sent, and
         ``CommandLostError`` if it may have been or may still be executed.
         """
@@ -500,6 +555,14 @@
             )
         except (OSError, urllib3.exceptions.HTTPError) as error:
             raise NotConnectedError(repr(error)) from error
+        reached = self.reached_runs.run_of(connection)
+        if recipient is not None:
+            try:
+                self._check_recipient(reached, recipient)
+                self._keep_run_reached(connection)
+            except CommandNotSentError:
+                connection.close()
+                raise
         try:
             body = build_body()
         except CommandNotSentError:
@@ -525,9 +588,83 @@
             bounded_http.ResponseTooLargeError,
         ) as error:
             connection.close()
-            raise CommandLostError(repr(error)) from error
+            raise CommandLostError(repr(error), reached) from error
+        self._release(connection, response)
+        headers = urllib3.HTTPHeaderDict(response.headers)
+        return CommandResponse(response.status, headers, reached)
+
+    def _check_recipient(
+        self, reached: reached_runs.ReachedRun, recipient: Recipient
+    ) -> None:
+        """Check that a run that was reached is the recipient of a command.
+
+        A server whose id is not known yet is asked for it.  Raises
+        ``OtherRunError``, or ``NotConnectedError`` if there is no answer.
+        """
+        named = self.reached_runs.server_id(reached)
+        if named is None:
+            named = self._ask_id(reached, recipient)
+        expected = (recipient.server_id, recipient.reached or reached)
+        if (named, reached) != expected:
+            raise OtherRunError(
+                f"{named} has answered, perhaps in a later run",
+                reached if named == recipient.server_id else None,
+            )
+
+    def _ask_id(
+        self, reached: reached_runs.ReachedRun, recipient: Recipient
+    ) -> str:
+        """Return the id of the server, as its health check names it.
+
+        It is taken to be that of the recipient if the health check of the
+        service names no ids.  The request has a connection of its own, which
+        the server may close.  Raises ``NotConnectedError`` if there is no
+        result of a health check.
+        """
+        connection = self._connect_for_command()
+        if self.reached_runs.run_of(connection) != reached:
+            connection.close()
+            raise NotConnectedError("the connection has been closed")
+        try:
+            connection.timeout = NAMING_TIMEOUT_S
+            connection.sock.settimeout(NAMING_TIMEOUT_S)
+            connection.request(
+                "GET", recipient.health_path, preload_content=False
+            )
+            response = connection.getresponse()
+            response.read()
+        except (
+            *_CONNECTION_ERRORS,
+            bounded_http.ResponseTooLargeError,
+        ) as error:
+            connection.close()
+            raise NotConnectedError(repr(error)) from error
         self._release(connection, response)
-        return response.status, urllib3.HTTPHeaderDict(response.headers)
+        named = response.headers.get(self.header_names.named_id)
+        if named is None and response.status in problems.NOT_RUN_STATUSES:
+            raise NotConnectedError(
+                f"no result of the health check: HTTP {response.status}"
+            )
+        server_id = recipient.server_id if named is None else str(named)
+        self.reached_runs.record_id(reached, server_id)
+        return server_id
+
+    def _keep_run_reached(self, connection: bounded_http.Connection) -> None:
+        """Open a spare connection to a server that closes others.
+
+        Else nothing would show that the next connection leads to the same run.
+        """
+        if self.closed_by_server and not self.reached_runs.has_other(
+            connection
+        ):
+            self._make_idle(self._connect_for_command())
+
+    def _connect_for_command(self) -> bounded_http.Connection:
+        """Return a new connection; raises ``NotConnectedError``."""
+        try:
+            return self._connect(CONNECT_TIMEOUT_S)
+        except (OSError, urllib3.exceptions.HTTPError) as error:
+            raise NotConnectedError(repr(error)) from error
 
     def _release(
         self,
@@ -542,6 +679,7 @@
         if _reusable(response) and not self._is_refusal(response):
             self._make_idle(connection)
         else:
+            self.closed_by_server |= not _reusable(response)
             connection.close()
 
     def _make_idle(self, connection: bounded_http.Connection) -> None:
@@ -587,8 +725,28 @@
     """No connection to the server could be opened for a command."""
 
 
+class OtherRunError(CommandNotSentError):
+    """Another run of the server may have answered than a command is for.
+
+    ``reached`` is that run if it has the same id, else None.
+    """
+
+    def __init__(
+        self, message: str, reached: reached_runs.ReachedRun | None
+    ) -> None:
+        super().__init__(message)
+        self.reached = reached
+
+
 class CommandLostError(Exception):
-    """A command got no response: it may be executed now, later or never."""
+    """A command got no response: it may be executed now, later or never.
+
+    ``reached`` is the run of the server that it was written to.
+    """
+
+    def __init__(self, message: str, reached: reached_runs.ReachedRun) -> None:
+        super().__init__(message)
+        self.reached = reached
 
 
 def _connect_timeout_s(left_s: float) -> float:
--- a/packages/bronzepaddle-backend/src/bronzepaddle_backend/key_grants.py
+++ b/packages/bronzepaddle-backend/src/bronzepaddle_backend/key_grants.py
@@ -13,7 +13,7 @@
 
 from bronzepaddle import ids
 
-from bronzepaddle_backend import connections
+from bronzepaddle_backend import connections, reached_runs
 
 MIN_SENT_HOLD_S: typing.Final = 0.05
 """Shortest remaining time of a grant that is still sent."""
@@ -54,12 +54,13 @@
 
     ``done`` is set if the server executed it.  ``handover`` is the text
     returned by a release, for the next server.  ``detail`` describes the
-    response, for the log.
+    response, for the log.  ``reached`` is the run that has answered.
     """
 
     done: bool
     handover: str
     detail: str
+    reached: reached_runs.ReachedRun
 
 
 class KeyGrantCommands(typing.Protocol):
@@ -68,18 +69,30 @@
     A run lasts from one start of the server to the next.
     """
 
-    async def grant(self, key_grant: KeyGrant) -> CommandResult:
+    async def grant(
+        self,
+        key_grant: KeyGrant,
+        reached: reached_runs.ReachedRun | None = None,
+    ) -> CommandResult:
         """Grant keys or renew their grant.
 
+        ``reached`` is the run that earlier grants under the same token have
+        reached; the command is sent to no other.
+
         Raises ``connections.CommandLostError`` if the command may still be
-        executed, ``connections.CommandNotSentError`` if it certainly won't be.
+        executed, ``connections.CommandNotSentError`` if it certainly won't
+        be; ``connections.OtherRunError`` is one of these.
         """
         ...
 
     async def release(
-        self, first: int, last: int, token: ids.Token
+        self,
+        first: int,
+        last: int,
+        token: ids.Token,
+        reached: reached_runs.ReachedRun | None = None,
     ) -> CommandResult:
-        """Revoke the grant of keys.
+        """Revoke the grant of keys, which has reached a certain run.
 
         Returns once the server has finished all requests for them.  Raises
         the same errors as ``grant``.
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/keys/server_grants.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/keys/server_grants.py
@@ -34,6 +34,7 @@
     hold_times,
     member_settings,
     ownership_view,
+    token_runs,
 )
 
 MIN_HOLD_S: typing.Final = 0.1
@@ -73,7 +74,9 @@
         self.clock = clock
         self.started_at = clock.now()
         self.hold_times = hold_times.HoldTimes(settings, view, held)
-        # When a command last found no connection to the server.
+        self.token_runs = token_runs.TokenRuns()
+        # When a command last found no connection to the server, or perhaps
+        # another run of it.
         self.not_connected_at = float("-inf")
         # The tokens of the ranges that were granted to another run of the
         # server since the start.
@@ -152,16 +155,30 @@
         )
 
     def _announced_since_refusal(self) -> bool:
-        """Return whether the server was heard of after it refused a command.
+        """Return whether the server was heard of after a command failed.
 
-        Until then another run may listen at its address, which must not get
-        the grants of this one.
+        It refused the command then, or another run may have answered, which
+        must not get the grants of this one.
         """
         latest = self.tracker.latest
         return latest is not None and (
             latest.received_at > self.not_connected_at
         )
 
+    def renew_tokens(
+        self, ownership: key_ranges.Ownership, holder: key_ranges.Holder
+    ) -> key_ranges.Ownership | None:
+        """Return an ownership in which no own token is outdated.
+
+        None if nothing changes, or until the server is heard of again: a
+        later run under the same id gets new tokens anyway.
+        """
+        if not self.token_runs.outdated or not self._announced_since_refusal():
+            return None
+        return key_ranges.renew_tokens(
+            ownership, holder, self.token_runs.outdated
+        )
+
     def on_report(
         self, report: key_reports.KeyReport
     ) -> key_reports.HoldOrder | None:
@@ -347,7 +364,9 @@
             return False
         first, last, token = grant
         try:
-            outcome = await commands.release(first, last, token)
+            outcome = await commands.release(
+                first, last, token, self.token_runs.run_of(token)
+            )
         except (
             connections.CommandNotSentError,
             connections.CommandLostError,
@@ -439,8 +458,9 @@
         longest_hold_s = hold_s * (1 + self.settings.times.drift)
         held_until_before = dict(self.issued_grants.held_until)
         self.issued_grants.add(key_range, now + longest_hold_s)
+        reached = self.token_runs.run_of(key_range.token)
         try:
-            outcome = await commands.grant(grant)
+            outcome = await commands.grant(grant, reached)
         except connections.CommandNotSentError as error:
             self.issued_grants.held_until = held_until_before
             self._record_not_connected(error)
@@ -450,6 +470,7 @@
             return
         except connections.CommandLostError as error:
             # Its bytes have left by now, if ever.
+            self.token_runs.record(key_range.token, error.reached)
             held_until = self.clock.now() + longest_hold_s
             self._record_issued(key_range, held_until)
             self.uncertain_until = max(self.uncertain_until, held_until)
@@ -457,6 +478,7 @@
                 "grant", key_range.first, key_range.last, repr(error)
             )
             return
+        self.token_runs.record(key_range.token, outcome.reached)
         held_until = self.clock.now() + longest_hold_s
         self._record_issued(key_range, held_until)
         self._log_if_late(key_range, held_until)
@@ -470,9 +492,14 @@
             self._record_grant(key_range, now + hold_s)
 
     def _record_not_connected(self, error: Exception) -> None:
-        """Record when a command found no connection to the server."""
-        if isinstance(error, connections.NotConnectedError):
-            self.not_connected_at = self.clock.now()
+        """Record when a command didn't find the run that it is for."""
+        match error:
+            case connections.NotConnectedError():
+                self.not_connected_at = self.clock.now()
+            case connections.OtherRunError():
+                self.not_connected_at = self.clock.now()
+                if error.reached is not None:
+                    self.token_runs.record_other(error.reached)
 
     def _record_issued(
         self, key_range: key_ranges.Range, held_until: float
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/reconciler.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/reconciler.py
@@ -180,12 +180,23 @@
             if self.held.run != run:
                 # Announced while the write was waiting.
                 return
+        if await self._renew_tokens(ownership):
+            return
         own_ranges = self.grants.apply(ownership, run)
         if not self.grants.takes_grants_by_report():
             await self.grants.grant_all(own_ranges)
         self.grants.record_expired()
         await self._write_releases()
 
+    async def _renew_tokens(self, ownership: key_ranges.Ownership) -> bool:
+        """Write new tokens if the server may run anew under its id.
+
+        Returns whether they were written.
+        """
+        holder = key_ranges.Holder(self.settings.name, self.held.run)
+        after = self.grants.renew_tokens(ownership, holder)
+        return after is not None and await self.view.write(after)
+
     async def _write_releases(self) -> None:
         """Mark keys as released by earlier holders, all in one write."""
         latest = self.view.latest
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -38,7 +38,12 @@
     expected_cost,
     retries,
 )
-from bronzepaddle_backend import key_grants, key_reports, server_tracker
+from bronzepaddle_backend import (
+    connections,
+    key_grants,
+    key_reports,
+    server_tracker,
+)
 from bronzepaddle_callers import buffered_app, server
 from bronzepaddle_peers import (
     datagrams,
@@ -285,13 +290,23 @@
     def _grant_commands(self) -> key_grants.KeyGrantCommands | None:
         """Return the commands to the current run of the backend server.
 
-        Returns None as long as no server has announced itself.
+        Returns None as long as no server has announced itself, or while its
+        service is not configured.
         """
         run = self.local_backend.server_run
-        if run is None:
+        table = self.configuration.route_table
+        if run is None or table is None:
+            return None
+        rules = table.services.get(self.settings.service)
+        if rules is None:
             return None
         return grant_commands.GrantCommands(
-            run.connections, self.command_threads
+            run.connections,
+            self.command_threads,
+            connections.Recipient(
+                run.announcement.server_id,
+                rules.health_path,
+            ),
         )
 
     # Ports.
--- a/packages/bronzepaddle/src/bronzepaddle/key_ranges.py
+++ b/packages/bronzepaddle/src/bronzepaddle/key_ranges.py
@@ -277,6 +277,32 @@
     )
 
 
+def renew_tokens(
+    ownership: Ownership,
+    holder: Holder,
+    tokens: collections.abc.Container[ids.Token],
+) -> Ownership | None:
+    """Return the ownership with a new token for a holder's keys.
+
+    Replaces the given tokens.  Returns None if it holds no keys under them.
+    """
+    ranges = tuple(
+        msgspec.structs.replace(
+            key_range, token=ownership.next_token, handover=""
+        )
+        if key_range.holder == holder and key_range.token in tokens
+        else key_range
+        for key_range in ownership.ranges
+    )
+    if ranges == ownership.ranges:
+        return None
+    return msgspec.structs.replace(
+        ownership,
+        next_token=ids.Token(ownership.next_token + 1),
+        ranges=merge_adjacent(ranges),
+    )
+
+
 def merge_adjacent(
     ranges: collections.abc.Iterable[Range],
 ) -> tuple[Range, ...]:
--- a/tests/support/broken_reconcilers.py
+++ b/tests/support/broken_reconcilers.py
@@ -12,7 +12,12 @@
 from bronzepaddle import ids, key_ranges, store_leases
 from bronzepaddle_backend import connections, key_grants, key_reports
 from bronzepaddle_node import issued_grants, reconciler, reported_grants
-from bronzepaddle_node.keys import hold_times, ownership_view, server_grants
+from bronzepaddle_node.keys import (
+    hold_times,
+    ownership_view,
+    server_grants,
+    token_runs,
+)
 from bronzepaddle_peers import statuses
 
 _Patches: typing.TypeAlias = list[typing.Any]
@@ -439,6 +444,21 @@
 """Variants that forget that long work has longer grants."""
 
 
+def _any_run() -> _Patches:
+    """Send the grants under a token to whichever run has the announced id."""
+
+    def run_of(_self: token_runs.TokenRuns, _token: ids.Token) -> None:
+        return None
+
+    return [unittest.mock.patch.object(token_runs.TokenRuns, "run_of", run_of)]
+
+
+RESTART_VARIANTS: typing.Final[
+    dict[str, collections.abc.Callable[[], _Patches]]
+] = {"any-run": _any_run}
+"""Variants that matter where servers restart between two renewals."""
+
+
 @contextlib.contextmanager
 def patched(variant: str) -> collections.abc.Iterator[None]:
     """Apply the patches of a variant; an empty name applies none."""
@@ -449,6 +469,7 @@
             | GRANT_END_VARIANTS
             | LONG_WORK_VARIANTS
             | READ_VARIANTS
+            | RESTART_VARIANTS
         )
         for patch in variants[variant]() if variant else []:
             stack.enter_context(patch)
--- a/tests/support/fake_servers.py
+++ b/tests/support/fake_servers.py
@@ -10,7 +10,12 @@
 import typing
 
 from bronzepaddle import ids
-from bronzepaddle_backend import connections, key_grants, key_reports
+from bronzepaddle_backend import (
+    connections,
+    key_grants,
+    key_reports,
+    reached_runs,
+)
 
 if typing.TYPE_CHECKING:
     from support import simulated_fleet, simulated_time
@@ -44,6 +49,9 @@
         self.fleet = fleet
         self.name = name
         self.run = run
+        fleet.runs_started += 1
+        # A number that tells it apart from other runs under its id.
+        self.reached = reached_runs.ReachedRun(fleet.runs_started)
         self.rate = fleet.rng.choice(SERVER_CLOCK_RATES)
         self.up = True
         self.listening = True
@@ -211,16 +219,25 @@
 
 
 class FakeCommands:
-    """Implements ``KeyGrantCommands`` for one run of a fake server."""
+    """Implements ``KeyGrantCommands`` for one run of a fake server.
+
+    ``server`` is the run that answers, ``run`` the one that was announced.
+    """
 
     def __init__(
-        self, server: FakeServer, clock: "simulated_time.SimulatedClock"
+        self,
+        server: FakeServer,
+        run: str,
+        clock: "simulated_time.SimulatedClock",
     ) -> None:
         self.server = server
+        self.run = run
         self.clock = clock
 
     async def grant(
-        self, key_grant: key_grants.KeyGrant
+        self,
+        key_grant: key_grants.KeyGrant,
+        reached: reached_runs.ReachedRun | None = None,
     ) -> key_grants.CommandResult:
         """Grant keys, at once or late.
 
@@ -228,7 +245,7 @@
         server is still up by then.
         """
         fleet, server = self.server.fleet, self.server
-        await self._connect()
+        await self._connect(reached)
         await self._wait_to_send()
         hold_s = key_grant.remaining_hold_s(self.clock.now())
         if int(hold_s * 1000) < 1:
@@ -242,9 +259,9 @@
             fleet.loop.call_later(
                 delay_s, self._accept_late, key_grant, hold_s, arrived_at
             )
-            raise connections.CommandLostError("no response")
+            raise connections.CommandLostError("no response", server.reached)
         accepted = server.accept(key_grant, hold_s, arrived_at)
-        return key_grants.CommandResult(accepted, "", "")
+        return key_grants.CommandResult(accepted, "", "", server.reached)
 
     def _accept_late(
         self, grant: key_grants.KeyGrant, hold_s: float, arrived_at: float
@@ -253,20 +270,24 @@
             self.server.accept(grant, hold_s, arrived_at)
 
     async def release(
-        self, first: int, last: int, token: ids.Token
+        self,
+        first: int,
+        last: int,
+        token: ids.Token,
+        reached: reached_runs.ReachedRun | None = None,
     ) -> key_grants.CommandResult:
         """Release keys; may report a lost command although it was executed.
 
         The result contains a text (here ``handover``) that is passed to the
         next server that gets the keys.
         """
-        await self._connect()
-        fleet = self.server.fleet
+        await self._connect(reached)
+        fleet, server = self.server.fleet, self.server
         self.server.release(first, last)
         if fleet.commands_late and fleet.rng.random() < 0.3:
-            raise connections.CommandLostError("no response")
+            raise connections.CommandLostError("no response", server.reached)
         await asyncio.sleep(fleet.rng.uniform(0.0, 0.4))
-        return key_grants.CommandResult(True, "handover", "")
+        return key_grants.CommandResult(True, "handover", "", server.reached)
 
     async def _wait_to_send(self) -> None:
         """Wait while the sending is delayed or the process is frozen."""
@@ -276,8 +297,18 @@
         await self.clock.running.wait()
         fleet.waiting_to_send.discard(name)
 
-    async def _connect(self) -> None:
-        """Reach the server; raises ``NotConnectedError`` if it refuses."""
+    async def _connect(self, reached: reached_runs.ReachedRun | None) -> None:
+        """Reach the server and check that it is the run that was announced.
+
+        Raises ``NotConnectedError`` if it refuses, ``OtherRunError`` if it is
+        another run than the one announced or reached before.
+        """
         await asyncio.sleep(0.0005)
-        if not (self.server.up and self.server.listening):
+        server = self.server
+        if not (server.up and server.listening):
             raise connections.NotConnectedError("refused")
+        same_id = server.run.partition("@")[0] == self.run.partition("@")[0]
+        if not same_id or reached not in (None, server.reached):
+            raise connections.OtherRunError(
+                server.run, server.reached if same_id else None
+            )
--- a/tests/support/simulated_fleet.py
+++ b/tests/support/simulated_fleet.py
@@ -53,6 +53,12 @@
 SETTLE_S: typing.Final = 60.0
 """Longest time until all keys are served once there are no more faults."""
 
+RESTARTS_S: typing.Final = (0.05, 0.1, 0.2, 0.3, 0.6)
+"""Times in which a server restarts, most of them between two renewals."""
+
+FIRST_ANNOUNCEMENTS_S: typing.Final = (0.0, 0.3, 0.9, 1.5, 2.5)
+"""Times from the start of a run until it can be heard of."""
+
 ROUTE_TABLE: typing.Final = route_table.Table(
     ids.BundleVersion(1),
     (),
@@ -124,7 +130,7 @@
         return (
             None
             if server is None
-            else fake_servers.FakeCommands(server, self.clock)
+            else fake_servers.FakeCommands(server, run, self.clock)
         )
 
     async def _pull(
@@ -159,6 +165,10 @@
                     self.receive_announcement(server)
             await self.clock.sleep(pause_s)
 
+    def end_announcement_delay(self) -> None:
+        """Let the announcements of the server arrive again."""
+        self.announcements_held_up = False
+
     def report_soon(self, server: fake_servers.ReportingServer) -> None:
         """Send a report and apply the response, as fast as the faults let."""
         self.tasks.start(self._report(server), "report")
@@ -342,17 +352,42 @@
         # The distinct grants that servers have accepted.
         self.accepted: set[AcceptedToken] = set()
         self.last_start_ms = 1000
+        self.runs_started = 0
         self.readers = store_reads.DEFAULT_READERS
 
-    def start_server(self, name: str) -> None:
+    def start_server(self, name: str, server_id: str = "") -> None:
         """Start a new run of a server and end the earlier run, if any."""
         self.last_start_ms += 1
         if name in self.servers:
             self.servers[name].up = False
         self.servers[name] = self.server_type(
-            self, name, f"i-{name}@{self.last_start_ms}"
+            self, name, f"{server_id or f'i-{name}'}@{self.last_start_ms}"
         )
 
+    async def restart_server_quickly(self, name: str, same_id: bool) -> None:
+        """Start a new run at the address of the earlier one.
+
+        Its first announcement is late.
+        """
+        earlier = self.servers[name]
+        earlier.up = False
+        await asyncio.sleep(self.rng.choice(RESTARTS_S))
+        server_id = earlier.run.partition("@")[0]
+        self.start_server(
+            name, server_id if same_id else f"{server_id}x{self.last_start_ms}"
+        )
+        self.addressed_servers[earlier.run] = self.servers[name]
+        for run, server in self.addressed_servers.items():
+            if server is earlier:
+                self.addressed_servers[run] = self.servers[name]
+        process = self.processes.get(name)
+        if process is not None:
+            process.announcements_held_up = True
+            self.loop.call_later(
+                self.rng.choice(FIRST_ANNOUNCEMENTS_S),
+                process.end_announcement_delay,
+            )
+
     def move_server(self, name: str) -> None:
         """Start a new run of a server; the earlier run lives on elsewhere."""
         earlier = self.servers.pop(name)
@@ -489,6 +524,16 @@
 )
 """Actions where the store may come back from a copy."""
 
+RESTART_ACTIONS: typing.Final = (
+    *_ACTIONS,
+    "quick-restart",
+    "quick-restart",
+    "quick-restart-same-id",
+    "quick-restart-same-id",
+    "quick-restart-same-id",
+)
+"""Actions where servers restart at their addresses between two renewals."""
+
 COPY_AGES_S: typing.Final = (0.1, 0.5, 1.5, 4.0, 9.0, 20.0)
 """Ages of the copies that the store comes back from."""
 
@@ -506,6 +551,10 @@
             server.up = False
         case "server-restart":
             fleet.start_server(member)
+        case "quick-restart":
+            await fleet.restart_server_quickly(member, same_id=False)
+        case "quick-restart-same-id":
+            await fleet.restart_server_quickly(member, same_id=True)
         case "server-lost":
             server.up = False
         case "drain":
--- a/tests/test_response_integrity.py
+++ b/tests/test_response_integrity.py
@@ -275,7 +275,7 @@
     server = scripted_server.ScriptedServer([granted, granted], [b""])
     pool = scripted_server.connection_pool(server.port)
     with contextlib.closing(pool):
-        status, _ = pool.send_command("/api/grant", lambda: b"{}", 5.0)
+        status = pool.send_command("/api/grant", lambda: b"{}", 5.0).status
         assert status == 200
         with pytest.raises(connections.CommandLostError):
             pool.send_command("/api/release", lambda: b"{}", 5.0, reuse=False)
