Give the stand-in of a server its health check

A process asks a server for its id before it grants keys. The platform's servers answer health checks, and the stand-in does now; the test is unchanged and passed with it.

--- a/tests/integration/platform_standins.py
+++ b/tests/integration/platform_standins.py
@@ -317,6 +317,10 @@
                 self.key_ranges.pop((command["from"], command["target"]), None)
                 handover = [("Handover", f"of {self.server_id}")]
                 return _respond(start_response, 200, b"", handover)
+            case "/health":
+                named = [("Instance-Id", self.server_id)]
+                status = 200 if self.state == "ready" else 503
+                return _respond(start_response, status, b"", named)
             case _:
                 return self._execute(environ, start_response, body)
 
