Close the connections of callers so that responses arrive

Callers that had sent a request behind another one, and read the response to the first slowly, got a part of it and a reset where the process closed the connection after it: at a stop, after Connection: close, over the HTTP library's limit of kept connections. New connections over max-connections cost idle ones a response that their callers were still reading.

It was waited until little was unsent, but nobody read the input.

Change: callers/closing closes the sending side, reads and drops input, and closes the socket once the caller has closed its side; bounded in bytes, time and number. Evictions prefer connections with nothing unsent, for callers and for peers, and a stop waits until the kernel has sent responses to peers.

--- a/packages/bronzepaddle-callers/src/bronzepaddle_callers/guarded_socket.py
+++ b/packages/bronzepaddle-callers/src/bronzepaddle_callers/guarded_socket.py
@@ -45,6 +45,7 @@
     transfer: slow_callers.Transfer
     wait_ends_at = math.inf
     waits_to_read = False
+    aborts_on_close = False
 
     def limit_waits(self, time_s: float) -> None:
         """Wait no longer than for ``time_s`` in all from now on."""
@@ -163,6 +164,7 @@
 
         The kernel would keep it for minutes for a caller that doesn't read.
         """
+        self.aborts_on_close = True
         with contextlib.suppress(OSError):
             self.setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, ABORT_ON_CLOSE
--- a/packages/bronzepaddle-callers/src/bronzepaddle_callers/server.py
+++ b/packages/bronzepaddle-callers/src/bronzepaddle_callers/server.py
@@ -19,7 +19,7 @@
 import cheroot.server
 import cheroot.wsgi
 import cherrypy
-from bronzepaddle import options
+from bronzepaddle import options, unsent_data
 from bronzepaddle.load import (
     arrival_order,
     connection_limit,
@@ -30,6 +30,7 @@
     buffered_app,
     caller_writer,
     chunked_body,
+    closing,
     deliveries,
     guarded_socket,
     request_body,
@@ -209,7 +210,6 @@
         self.has_large_buffer = False
         self.is_deferred = False
         self.keep_open = False
-        self.is_closing = False
         server.connection_limit.add(self)
 
     def enlarge_buffer(self) -> None:
@@ -234,32 +234,46 @@
         self.server.deliveries.reserve()
 
     def close(self) -> None:
-        """Close the connection, or deliver what it is left with."""
+        """Close the connection once its caller has got the response."""
         if self.is_deferred:
             self.server.deliveries.add(self)
             return
-        unsent_bytes = deliveries.unsent_bytes(self.socket)
         was_idle = self.server.connection_limit.record_busy(self)
-        if was_idle and unsent_bytes:
+        if was_idle and self.server.ready and self.has_unsent():
             # Its caller has had the time to read.
             self.socket.abort_on_close()
-        elif unsent_bytes > deliveries.LINGER_BYTES and not self.is_closing:
-            self.is_closing = True
-            self.server.deliveries.linger(self)
-            return
-        elif unsent_bytes:
-            deliveries.limit_unsent(self.socket)
+        if self._can_close(was_idle):
+            self.end_closing()
+        else:
+            self.server.closing_connections.add(self)
+
+    def has_unsent(self) -> bool:
+        """Return whether the caller has not got all of a response."""
+        return unsent_data.unsent_bytes(self.socket) > 0
+
+    def _can_close(self, was_idle: bool) -> bool:
+        """Return whether to close the connection without waiting for it.
+
+        The kernel resets it if its caller still sends, so it is closed at
+        once only if the caller has closed its side, or is not in a request.
+        """
+        if self.socket.aborts_on_close:
+            return True
+        unsent_bytes = unsent_data.unsent_bytes(self.socket)
+        if was_idle and not unsent_bytes:
+            return True
+        if unsent_bytes > closing.UNSENT_BYTES:
+            return False
+        return closing.has_ended(self.socket)
+
+    def end_closing(self) -> None:
+        """Close the socket."""
+        unsent_data.limit_time(self.socket)
         self.server.connection_limit.remove(self)
         super().close()
 
     def refuse(self) -> None:
-        """Close a new connection: there is no place for it.
-
-        What has arrived is read, as the connection would be reset otherwise
-        and the caller might not see the response.
-        """
-        with contextlib.suppress(OSError):
-            socket.socket.recv(self.socket, RECEIVE_BUFFER_BYTES)
+        """Close a new connection: there is no place for it."""
         with contextlib.suppress(OSError):
             socket.socket.send(self.socket, REFUSAL)
         self.close()
@@ -271,7 +285,6 @@
         if delivered and self.keep_open:
             self.server.put_conn(self)
         else:
-            self.is_closing = self.is_closing or not delivered
             self.close()
 
 
@@ -332,6 +345,9 @@
             self.requests.min, self.timeout
         )
         self.deliveries = deliveries.Deliveries(self.waiting_threads)
+        self.closing_connections = closing.ClosingConnections(
+            self.waiting_threads
+        )
         self.connection_limit: connection_limit.ConnectionLimit[
             _Connection
         ] = connection_limit.ConnectionLimit(
@@ -372,10 +388,30 @@
         """
         if not self.connection_limit.is_exceeded():
             return True
+        if (
+            self._evict_idle(has_unsent=False)
+            or self.closing_connections.end_oldest()
+            or self._evict_idle(has_unsent=True)
+        ):
+            return True
+        slowest = self.waiting_threads.take_slowest(time.monotonic())
+        if slowest is None:
+            return False
+        slowest.close()
+        return True
+
+    def _evict_idle(self, has_unsent: bool) -> bool:
+        """Close an idle connection; return whether there was one.
+
+        ``has_unsent`` tells whether its caller has yet to get a response.
+        """
         # cheroot has no public access to its selector.
         selector = typing.cast(typing.Any, self)._connections._selector
         for candidate in self.connection_limit.candidates(EVICTION_TRIES):
-            if _is_readable(candidate.socket):
+            if (
+                _is_readable(candidate.socket)
+                or candidate.has_unsent() != has_unsent
+            ):
                 continue
             try:
                 selector.unregister(candidate.socket.fileno())
@@ -385,11 +421,7 @@
             self.connection_limit.evicted += 1
             candidate.close()
             return True
-        slowest = self.waiting_threads.take_slowest(time.monotonic())
-        if slowest is None:
-            return False
-        slowest.close()
-        return True
+        return False
 
     def start_threads(self) -> None:
         """Listen and serve in the background.
@@ -486,10 +518,14 @@
         return count
 
     def requests_in_progress(self) -> int:
-        """Return the number of requests without a completely sent response."""
+        """Return the number of requests without a completely sent response.
+
+        Connections that wait for their callers to close count as well.
+        """
         return (
             self.cheroot_server.requests_in_progress.count
             + self.cheroot_server.deliveries.count
+            + self.cheroot_server.closing_connections.count
         )
 
     def closed_callers(self) -> int:
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/peer_server.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/peer_server.py
@@ -14,6 +14,7 @@
 import grpclib.exceptions
 import grpclib.protocol
 import grpclib.server
+from bronzepaddle import unsent_data
 from bronzepaddle.load import body_budget
 
 from bronzepaddle_peers import codec
@@ -65,6 +66,10 @@
         calls = typing.cast(typing.Any, self.handler)._tasks.values()
         return not all(task.done() for task in calls)
 
+    def has_unsent(self) -> bool:
+        """Return whether a peer has not got all of a response."""
+        return self.transport is not None and has_unsent(self.transport)
+
     def abort(self) -> None:
         """Close the connection at once."""
         if self.transport is not None:
@@ -92,30 +97,41 @@
     def on_connected(self, connection: _PeerProtocol) -> None:
         """Add a connection; if there are too many, close one without a call.
 
-        The oldest one is closed, unless all others have calls.
+        The oldest one is closed, unless all others have calls.  One whose
+        peer has got the last response is preferred.
         """
         self.connections[connection] = None
         if len(self.connections) > self.max_connections:
-            without_call = (
+            without_call = [
                 other for other in self.connections if not other.has_call()
-            )
-            self._close(next(without_call, connection))
+            ]
+            without_call.sort(key=_PeerProtocol.has_unsent)
+            self._close(next(iter(without_call), connection))
         self._check_later(connection)
 
     def on_lost(self, connection: _PeerProtocol) -> None:
         """Remove a connection that is closed."""
         self.connections.pop(connection, None)
 
-    def _check_later(self, connection: _PeerProtocol) -> None:
+    def _check_later(
+        self, connection: _PeerProtocol, waits_for_peer: bool = False
+    ) -> None:
         loop = asyncio.get_running_loop()
-        loop.call_later(IDLE_TIMEOUT_S, self._check, connection)
+        loop.call_later(
+            IDLE_TIMEOUT_S, self._check, connection, waits_for_peer
+        )
 
-    def _check(self, connection: _PeerProtocol) -> None:
-        """Close a connection that has no call."""
+    def _check(self, connection: _PeerProtocol, waits_for_peer: bool) -> None:
+        """Close a connection that has no call.
+
+        A peer that has not got the last response is waited for once.
+        """
         if connection not in self.connections:
             return
         if connection.has_call():
             self._check_later(connection)
+        elif connection.has_unsent() and not waits_for_peer:
+            self._check_later(connection, waits_for_peer=True)
         else:
             self._close(connection)
 
@@ -125,6 +141,16 @@
         connection.abort()
 
 
+def has_unsent(transport: asyncio.Transport) -> bool:
+    """Return whether a response is not yet with the kernel of its peer."""
+    if transport.get_write_buffer_size():
+        return True
+    connection = transport.get_extra_info("socket")
+    return connection is not None and bool(
+        unsent_data.unsent_bytes(connection)
+    )
+
+
 def limit_messages(
     stream: typing.Any,
     budget: body_budget.BodyBudget,
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_service.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/stream_service.py
@@ -125,12 +125,16 @@
         )
 
     def is_serving(self) -> bool:
-        """Return whether a request runs or its response is being written."""
+        """Return whether a request runs or its response is on its way.
+
+        What the kernel has not sent yet is lost if the process ends.
+        """
         if self.tasks or self.is_writing or not self.outgoing.empty():
             return True
         # grpclib has no public access to the transport of a stream.
-        transport = self.stream._stream.connection._transport
-        return bool(transport.get_write_buffer_size())
+        return peer_server.has_unsent(
+            self.stream._stream.connection._transport
+        )
 
 
 class Service:
@@ -152,7 +156,10 @@
         self.without_room = asyncio.Lock()
 
     def is_serving(self) -> bool:
-        """Return whether a request runs or its response is being written."""
+        """Return whether a request runs or its response is on its way.
+
+        What the kernel has not sent yet is lost if the process ends.
+        """
         return any(exchange.is_serving() for exchange in self.exchanges)
 
     def __mapping__(self) -> dict[str, grpclib.const.Handler]:
