Don't count closing connections towards max-connections

Cause: closing connections took places, and a new caller was let in for each refused one that was still closing.

--- a/packages/bronzepaddle-callers/src/bronzepaddle_callers/closing.py
+++ b/packages/bronzepaddle-callers/src/bronzepaddle_callers/closing.py
@@ -88,7 +88,7 @@
         with contextlib.suppress(OSError):
             connection.socket.shutdown(socket.SHUT_WR)
         if self.count >= MAX_CLOSING:
-            self.end_oldest()
+            self._end_oldest()
         with self.changed:
             progress = _Progress(unsent_data.unsent_bytes(connection.socket))
             if progress.unsent_bytes:
@@ -106,8 +106,8 @@
                 self.thread.start()
             self.changed.notify()
 
-    def end_oldest(self) -> bool:
-        """Close a connection to make room; False if there is none.
+    def _end_oldest(self) -> None:
+        """Close a connection to make room.
 
         One whose caller has got everything is preferred.
         """
@@ -119,18 +119,20 @@
             )
             oldest = next(iter(self.progress), None)
             connection = next(has_got_all, oldest)
-        if connection is None:
-            return False
-        self._end(connection)
-        return True
+        if connection is not None:
+            self._end(connection)
 
     def _run(self) -> None:
+        check_at = time.monotonic()
         while True:
             with self.changed:
                 self.changed.wait_for(lambda: self.progress)
             for key, _ in self.selector.select(CHECK_S):
                 self._read(key.data)
             now = time.monotonic()
+            if now < check_at:
+                continue
+            check_at = now + CHECK_S
             with self.changed:
                 closing = list(self.progress.items())
             for connection, progress in closing:
--- a/packages/bronzepaddle-callers/src/bronzepaddle_callers/server.py
+++ b/packages/bronzepaddle-callers/src/bronzepaddle_callers/server.py
@@ -242,6 +242,8 @@
         if was_idle and self.server.ready and self.has_unsent():
             # Its caller has had the time to read.
             self.socket.abort_on_close()
+        # Those that are closing have a limit of their own.
+        self.server.connection_limit.remove(self)
         if self._can_close(was_idle):
             self.end_closing()
         else:
@@ -269,7 +271,6 @@
     def end_closing(self) -> None:
         """Close the socket."""
         unsent_data.limit_time(self.socket)
-        self.server.connection_limit.remove(self)
         super().close()
 
     def refuse(self) -> None:
@@ -388,10 +389,8 @@
         """
         if not self.connection_limit.is_exceeded():
             return True
-        if (
-            self._evict_idle(has_unsent=False)
-            or self.closing_connections.end_oldest()
-            or self._evict_idle(has_unsent=True)
+        if self._evict_idle(has_unsent=False) or self._evict_idle(
+            has_unsent=True
         ):
             return True
         slowest = self.waiting_threads.take_slowest(time.monotonic())
