Ask a server that was just heard of whether it leaves

Callers' requests reached a server long after its leaving had been acknowledged, and those that ran when it exited were lost: the process that had acknowledged it was killed, and its successor believed a late report.

Beside it, without a restart: a leaving before the first report of its run, and that of an earlier run, were forgotten.

Change: each run is asked by its health check before it is used, and counts as draining while that fails; the tracker remembers earlier runs and leavings. Neither the store nor peers are needed, so it holds when all processes end.

--- a/packages/bronzepaddle-backend/src/bronzepaddle_backend/connections.py
+++ b/packages/bronzepaddle-backend/src/bronzepaddle_backend/connections.py
@@ -65,8 +65,8 @@
 
 ROOM_POLL_S: typing.Final = 0.05
 
-NAMING_TIMEOUT_S: typing.Final = 0.5
-"""Timeout of a health request that asks a server for its id."""
+HEALTH_TIMEOUT_S: typing.Final = 0.5
+"""Timeout of a health check, which waits for a slot like any request."""
 
 _CONNECTION_ERRORS: typing.Final = (
     urllib3.exceptions.HTTPError,
@@ -139,6 +139,16 @@
     reached: reached_runs.ReachedRun | None = None
 
 
+class HealthAnswer(typing.NamedTuple):
+    """The result of a health check.
+
+    ``server_id`` is the id that the server has named, None if it names none.
+    """
+
+    status: int
+    server_id: str | None
+
+
 class CommandResponse(typing.NamedTuple):
     """The status and the headers of the response to a command.
 
@@ -625,12 +635,31 @@
         if self.reached_runs.run_of(connection) != reached:
             connection.close()
             raise NotConnectedError("the connection has been closed")
+        answer = self._get_health(connection, recipient.health_path)
+        server_id = answer.server_id or recipient.server_id
+        self.reached_runs.record_id(reached, server_id)
+        return server_id
+
+    def check_health(self, path: str) -> HealthAnswer:
+        """Return the result of the server's health check.
+
+        Raises ``NotConnectedError`` if there is none.
+        """
+        return self._get_health(self._connect_for_command(), path)
+
+    def _get_health(
+        self, connection: bounded_http.Connection, path: str
+    ) -> HealthAnswer:
+        """Request the health check on a new connection.
+
+        Raises ``NotConnectedError`` if there is no result: a server that has
+        too much to do rejects it like any other request.
+        """
+        reached = self.reached_runs.run_of(connection)
         try:
-            connection.timeout = NAMING_TIMEOUT_S
-            connection.sock.settimeout(NAMING_TIMEOUT_S)
-            connection.request(
-                "GET", recipient.health_path, preload_content=False
-            )
+            connection.timeout = HEALTH_TIMEOUT_S
+            connection.sock.settimeout(HEALTH_TIMEOUT_S)
+            connection.request("GET", path, preload_content=False)
             response = connection.getresponse()
             response.read()
         except (
@@ -645,9 +674,11 @@
             raise NotConnectedError(
                 f"no result of the health check: HTTP {response.status}"
             )
-        server_id = recipient.server_id if named is None else str(named)
-        self.reached_runs.record_id(reached, server_id)
-        return server_id
+        if named is not None:
+            self.reached_runs.record_id(reached, str(named))
+        return HealthAnswer(
+            response.status, None if named is None else str(named)
+        )
 
     def _keep_run_reached(self, connection: bounded_http.Connection) -> None:
         """Open a spare connection to a server that closes others.
--- a/packages/bronzepaddle-backend/src/bronzepaddle_backend/server_tracker.py
+++ b/packages/bronzepaddle-backend/src/bronzepaddle_backend/server_tracker.py
@@ -4,6 +4,7 @@
 run of the server is present and whether it accepts requests.
 """
 
+import collections
 import dataclasses
 import enum
 import typing
@@ -19,6 +20,10 @@
 """
 
 
+MAX_EARLIER_RUNS: typing.Final = 16
+"""Earlier runs, and servers that left unannounced, that are remembered."""
+
+
 class AnnouncedState(enum.Enum):
     """The state that a server announces."""
 
@@ -77,44 +82,100 @@
     gets no new requests then, but may still hold its keys.
     ``evacuated_since`` is the time since which its availability zone is
     evacuated, None if it isn't; the server counts as draining then.
+
+    With ``asks_health``, a run that was just heard of is used only once its
+    health check has passed: it may have announced to an earlier process that
+    it leaves, and an announcement of before that may be late.
     """
 
-    def __init__(self, interval_s: float) -> None:
+    def __init__(self, interval_s: float, asks_health: bool = False) -> None:
         self.interval_s = interval_s
+        self.asks_health = asks_health
         self.latest: RunState | None = None
+        # The last states of earlier runs, the newest last.
+        self.earlier_runs: collections.OrderedDict[str, RunState] = (
+            collections.OrderedDict()
+        )
+        # The run whose health check was answered, and whether it failed.
+        self.checked_run = ""
+        self.unhealthy = False
         self.unreachable = False
         self.evacuated_since: float | None = None
         # Whether the evacuation has ended: it lasts until the next
         # announcement, since the server may have become cold meanwhile.
         self.evacuation_ended = False
-        # Id of a server whose leaving was recorded before any announcement.
-        self.leaving_id = ""
+        # Ids of servers whose leaving was recorded before any announcement.
+        self.leaving_ids: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
 
     def record(self, announcement: Announcement, now: float) -> bool:
         """Record an announcement; return False if it is outdated."""
         recorded = self.latest
-        if recorded is not None and not self._supersedes(
-            recorded, announcement, now
+        known = self._known(announcement.run)
+        if known is not None and (
+            known.leaving
+            or announcement.sequence <= known.announcement.sequence
         ):
             return False
-        leaving = announcement.server_id == self.leaving_id
-        self.leaving_id = ""
+        if recorded is not None and recorded.announcement.run != (
+            announcement.run
+        ):
+            if not self._supersedes(recorded, announcement, now):
+                return False
+            self._remember(recorded)
+        self.earlier_runs.pop(announcement.run, None)
+        leaving = announcement.server_id in self.leaving_ids
+        self.leaving_ids.pop(announcement.server_id, None)
         draining_since = now if leaving else None
         if announcement.state is AnnouncedState.DRAINING:
-            same_run = (
-                recorded is not None
-                and recorded.announcement.run == announcement.run
-            )
-            previous_since = (
-                recorded.draining_since if recorded and same_run else None
-            )
+            previous_since = None if known is None else known.draining_since
             draining_since = now if previous_since is None else previous_since
         self.latest = RunState(announcement, now, leaving, draining_since)
         self.unreachable = False
         if self.evacuation_ended:
             self.evacuated_since = None
+        if self.checked_run != announcement.run:
+            self.unhealthy = False
         return True
 
+    def _known(self, run: str) -> RunState | None:
+        """Return the last state of a run, None if it is new."""
+        if self.latest is not None and self.latest.announcement.run == run:
+            return self.latest
+        return self.earlier_runs.get(run)
+
+    def _remember(self, state: RunState) -> None:
+        """Remember the last state of a run that another one replaces."""
+        self.earlier_runs[state.announcement.run] = state
+        if len(self.earlier_runs) > MAX_EARLIER_RUNS:
+            self.earlier_runs.popitem(last=False)
+
+    def is_checked(self) -> bool:
+        """Return whether the health check of the run was answered."""
+        latest = self.latest
+        return not self.asks_health or (
+            latest is not None and self.checked_run == latest.announcement.run
+        )
+
+    def run_to_check(self) -> Announcement | None:
+        """Return the run whose health is to be asked for, if any."""
+        latest = self.latest
+        if latest is None or latest.leaving:
+            return None
+        if self.is_checked() and not self.unhealthy:
+            return None
+        return latest.announcement
+
+    def record_health(self, run: str, healthy: bool, now: float) -> bool:
+        """Record the answer of a run; return whether it changes anything."""
+        if self.latest is None or self.latest.announcement.run != run:
+            return False
+        before = (self.is_checked(), self.unhealthy)
+        self.checked_run = run
+        self.unhealthy = not healthy
+        return before != (True, self.unhealthy)
+
     def evacuate(self, now: float) -> None:
         """Record that the zone of the server is evacuated."""
         self.evacuation_ended = False
@@ -128,30 +189,27 @@
     def draining_since(self) -> float | None:
         """Return the time since which the server drains, or None.
 
-        It drains when it has announced that, or when its zone is evacuated.
+        It drains when it has announced that, when its health check says so,
+        or when its zone is evacuated.  Since when a health check has failed is
+        not known.
         """
         announced = None if self.latest is None else self.latest.draining_since
-        times = (announced, self.evacuated_since)
+        unhealthy = float("-inf") if self.unhealthy else None
+        times = (announced, unhealthy, self.evacuated_since)
         return min((at for at in times if at is not None), default=None)
 
     def _supersedes(
         self, recorded: RunState, announcement: Announcement, now: float
     ) -> bool:
-        """Return whether an announcement supersedes the recorded one.
+        """Return whether another run supersedes the recorded one.
 
         A run with an earlier start time may have started after the clock was
         set back, but supersedes the recorded run only once that has been
         silent for long: until then, its announcement is treated as a delayed
         one.  Even then it does not show that the recorded run holds no keys.
         """
-        previous = recorded.announcement
-        if announcement.run == previous.run:
-            return (
-                not recorded.leaving
-                and announcement.sequence > previous.sequence
-            )
         return (
-            announcement.started_ms > previous.started_ms
+            announcement.started_ms > recorded.announcement.started_ms
             or self._is_silent(recorded, now)
         )
 
@@ -161,18 +219,24 @@
         Returns whether it is the server of the last announcement.
         """
         recorded = self.latest
-        if recorded is None:
-            self.leaving_id = server_id
-            return False
-        if recorded.announcement.server_id != server_id:
-            return False
-        draining_since = recorded.draining_since
-        self.latest = dataclasses.replace(
-            recorded,
-            leaving=True,
-            draining_since=now if draining_since is None else draining_since,
-        )
-        return True
+        if (
+            recorded is not None
+            and recorded.announcement.server_id == server_id
+        ):
+            self.latest = _leaving(recorded, now)
+            return True
+        earlier = [
+            state
+            for state in self.earlier_runs.values()
+            if state.announcement.server_id == server_id
+        ]
+        for state in earlier:
+            self.earlier_runs[state.announcement.run] = _leaving(state, now)
+        if not earlier:
+            self.leaving_ids[server_id] = None
+            if len(self.leaving_ids) > MAX_EARLIER_RUNS:
+                self.leaving_ids.popitem(last=False)
+        return False
 
     def present(self, now: float) -> bool:
         """Return whether the server is considered to be running."""
@@ -188,4 +252,16 @@
 
     def ready(self, now: float) -> bool:
         """Return whether the server accepts new requests."""
-        return self.draining_since() is None and self.present(now)
+        return (
+            self.is_checked()
+            and self.draining_since() is None
+            and self.present(now)
+        )
+
+
+def _leaving(state: RunState, now: float) -> RunState:
+    """Return the state of a run that leaves."""
+    since = state.draining_since
+    return dataclasses.replace(
+        state, leaving=True, draining_since=now if since is None else since
+    )
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/local_backend.py
@@ -528,6 +528,8 @@
         now = self.clock.now()
         if server_run is None or server_run is not self.server_run:
             return verdicts.Reason.NO_BACKEND
+        if not self.tracker.is_checked():
+            return verdicts.Reason.NO_BACKEND
         if self.start_limit.is_unknown(now):
             return verdicts.Reason.NO_BUNDLE
         announcement = server_run.announcement
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -12,6 +12,7 @@
 import collections.abc
 import concurrent.futures
 import dataclasses
+import functools
 import random
 import resource
 import sys
@@ -77,7 +78,10 @@
     status_broadcast,
     tasks,
 )
-from bronzepaddle_node.fleet import evacuations
+from bronzepaddle_node.fleet import (
+    evacuations,
+    health_checks,
+)
 from bronzepaddle_node.keys import member_settings
 from bronzepaddle_node.requests import explanation_app, relative_costs
 
@@ -136,7 +140,9 @@
             http_calls.CallBudget(settings.store_calls_per_minute),
         )
         self.peer_table = peer_table.PeerTable(settings.name, settings.zone)
-        self.tracker = server_tracker.Tracker(settings.announce_s)
+        self.tracker = server_tracker.Tracker(
+            settings.announce_s, asks_health=True
+        )
         self.held_keys = held_keys.HeldKeys()
         self.workers = concurrent.futures.ThreadPoolExecutor(
             settings.backend_threads, thread_name_prefix="backend"
@@ -226,8 +232,14 @@
         )
         self.reconciler = self._build_reconciler()
         self.evacuations = self._build_evacuations()
+        self.health_checks = health_checks.HealthChecks(
+            self.tracker, self._health_check, self._on_health, self.clock
+        )
         self.broadcaster.listeners.extend(
-            (self.configuration.on_status, self._on_status)
+            (
+                self.configuration.on_status,
+                self._on_status,
+            )
         )
         if self.evacuations is not None:
             self.broadcaster.listeners.append(self.evacuations.on_status)
@@ -245,6 +257,7 @@
         )
         if self.evacuations is not None:
             start(self.evacuations.run(), "evacuations")
+        start(self.health_checks.run(), "health checks")
         start(self.runtime_stats.run(), "runtime stats")
         logs.process("started", settings.name)
 
@@ -294,21 +307,29 @@
         service is not configured.
         """
         run = self.local_backend.server_run
-        table = self.configuration.route_table
-        if run is None or table is None:
-            return None
-        rules = table.services.get(self.settings.service)
-        if rules is None:
+        health_path = self._health_path()
+        if run is None or health_path is None:
             return None
         return grant_commands.GrantCommands(
             run.connections,
             self.command_threads,
-            connections.Recipient(
-                run.announcement.server_id,
-                rules.health_path,
-            ),
+            connections.Recipient(run.announcement.server_id, health_path),
         )
 
+    def _health_path(self) -> str | None:
+        """Return the path of the server's health check, if configured."""
+        table = self.configuration.route_table
+        rules = table and table.services.get(self.settings.service)
+        return rules.health_path if rules else None
+
+    def _health_check(self) -> health_checks.Check | None:
+        """Return the health check of the announced run, if configured."""
+        run = self.local_backend.server_run
+        path = self._health_path()
+        if run is None or path is None:
+            return None
+        return functools.partial(run.connections.check_health, path)
+
     # Ports.
 
     def _address(self) -> cells.Address:
@@ -500,6 +521,7 @@
         if not self.tracker.record(announcement, now):
             return key_reports.Reply(accepted=True)
         self.local_backend.on_announcement(announcement)
+        self.health_checks.announced.set()
         changed = previous is None or (
             previous.announcement.run,
             previous.announcement.state,
@@ -519,6 +541,11 @@
         order = self.reconciler.on_report(announcement.keys)
         return key_reports.Reply(accepted=True, order=order)
 
+    def _on_health(self) -> None:
+        """Act on the answer of a server that may be used, or may not."""
+        self.broadcaster.broadcast_soon()
+        self.reconciler.wakeup.set()
+
     def _on_leave(self, server_id: str) -> None:
         """Record that a server leaves; runs on a control server thread."""
         self._call_in_loop(lambda: self._record_leave(server_id))
@@ -578,12 +605,13 @@
         self.retry_budgets.max_budget = max(
             MIN_RETRY_BUDGET_LIMIT, slack / processes
         )
-        latest = self.tracker.latest
+        # A run that has not answered yet is as good as unknown to peers.
+        latest = self.tracker.latest if self.tracker.is_checked() else None
         announcement = None if latest is None else latest.announcement
         state = statuses.ServerState.ABSENT
         if self.tracker.ready(now):
             state = statuses.ServerState.READY
-        elif self.tracker.present(now):
+        elif latest is not None and self.tracker.present(now):
             state = statuses.ServerState.DRAINING
         warmup_left_s = 0.0
         if announcement is not None and latest is not None:
@@ -756,6 +784,7 @@
         self.udp.close()
         self.store.close()
         self.command_threads.close()
+        self.health_checks.close()
         self.metrics_recorder.close()
         self.workers.shutdown(wait=False, cancel_futures=True)
 
--- a/tests/integration/platform_standins.py
+++ b/tests/integration/platform_standins.py
@@ -240,7 +240,8 @@
     keeps these descriptions.  ``key_ranges`` maps the first and last key of a
     granted range to the time at which the grant expires.  Requests take one
     second while ``slow`` is set, and are blocked while ``unblocked`` is clear.
-    ``started_ms`` is the wall-clock time of the server's start.
+    ``started_ms`` is the wall-clock time of the server's start.  A server
+    that is ``leaving`` announces nothing, and its health check fails.
     """
 
     def __init__(self, server_id: str, service: str) -> None:
@@ -248,6 +249,7 @@
         self.service = service
         self.sequence = 0
         self.state = "ready"
+        self.leaving = False
         self.started_ms = time.time_ns() // 1_000_000
         self.key_ranges: dict[tuple[int, int], float] = {}
         self.received: list[dict[str, typing.Any]] = []
@@ -263,6 +265,8 @@
 
         ``control`` is the address of the process's control port.
         """
+        if self.leaving:
+            return 0
         self.sequence += 1
         return int(self.report(control, {}, self.sequence).status)
 
@@ -319,7 +323,8 @@
                 return _respond(start_response, 200, b"", handover)
             case "/health":
                 named = [("Instance-Id", self.server_id)]
-                status = 200 if self.state == "ready" else 503
+                healthy = self.state == "ready" and not self.leaving
+                status = 200 if healthy else 503
                 return _respond(start_response, status, b"", named)
             case _:
                 return self._execute(environ, start_response, body)
