Keep the crashes during a request over restarts

A request that crashes each server that runs it took down two more after each restart of the processes, with the other requests that ran there.

Change: processes tell one that has started all their suspects; each crash, the first one too, is written to one bounded object in the store, which is read once after a start. Neither holds anything up while the store is away.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/crash_detector.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/crash_detector.py
@@ -58,9 +58,12 @@
     """The suspects known to this process; for the event loop only.
 
     ``on_change`` is called when there is a change to report to the peers: a
-    new crash of a request, or a suspect that is cleared.
+    new crash of a request, or a suspect that is cleared.  ``on_crash`` is
+    called after a crash of the server on this VM.
     """
 
+    on_crash: collections.abc.Callable[[], None] = staticmethod(lambda: None)
+
     def __init__(
         self,
         clock: clocks.Clock,
@@ -74,6 +77,10 @@
             tuple[suspects.Fingerprint, float]
         ] = collections.deque(maxlen=MAX_LOST)
         self.run_ended_at = float("-inf")
+        # Served requests, which the store may still name, and when.
+        self.cleared: collections.OrderedDict[suspects.Fingerprint, float] = (
+            collections.OrderedDict()
+        )
         # By request: its number of crashes, and until when it is reported.
         self.reported_changes: dict[
             suspects.Fingerprint, tuple[int, float]
@@ -123,7 +130,7 @@
         ):
             self.lost_requests.popleft()
         if self.suspects.crashes(fingerprint, now):
-            self.suspects.clear(fingerprint)
+            self._clear(fingerprint)
             self._report_change(fingerprint, 0)
 
     def on_run_crashed(self) -> None:
@@ -144,6 +151,45 @@
         self.suspects.record(fingerprint, crashes, now)
         logs.suspect(fingerprint, crashes)
         self._report_change(fingerprint, crashes)
+        self.on_crash()
+
+    def _clear(self, fingerprint: suspects.Fingerprint) -> None:
+        """Forget the crashes of a request that was served."""
+        self.suspects.clear(fingerprint)
+        self.cleared[fingerprint] = self.clock.now()
+        self.cleared.move_to_end(fingerprint)
+        if len(self.cleared) > suspects.MAX_SUSPECTS:
+            self.cleared.popitem(last=False)
+
+    def learn(
+        self, fingerprint: suspects.Fingerprint, crashes: int, at: float
+    ) -> None:
+        """Record crashes of before, the last one at ``at``.
+
+        Those of a request that was served since are outdated.
+        """
+        if at <= self.cleared.get(fingerprint, float("-inf")):
+            return
+        if crashes > self.suspects.crashes(fingerprint, self.clock.now()):
+            self.suspects.record(fingerprint, crashes, at)
+
+    def report_all(self) -> None:
+        """Report the suspects anew: a process has started that knows none.
+
+        Those with the most crashes come first.
+        """
+        now = self.clock.now()
+        known = sorted(
+            self.suspects.current(now), key=lambda entry: entry[1].crashes
+        )
+        for fingerprint, record in known:
+            self.reported_changes.pop(fingerprint, None)
+            self.reported_changes[fingerprint] = (
+                record.crashes,
+                now + REPORT_S,
+            )
+        if known:
+            self.on_change()
 
     def _report_change(
         self, fingerprint: suspects.Fingerprint, crashes: int
@@ -178,6 +224,6 @@
         for reported in status.suspects:
             fingerprint = suspects.Fingerprint(reported.fingerprint)
             if not reported.crashes:
-                self.suspects.clear(fingerprint)
+                self._clear(fingerprint)
             elif reported.crashes > self.suspects.crashes(fingerprint, now):
                 self.suspects.record(fingerprint, reported.crashes, now)
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -79,6 +79,7 @@
     tasks,
 )
 from bronzepaddle_node.fleet import (
+    crash_records,
     evacuations,
     health_checks,
 )
@@ -232,12 +233,16 @@
         )
         self.reconciler = self._build_reconciler()
         self.evacuations = self._build_evacuations()
+        self.crash_records = crash_records.CrashRecords(
+            self.crash_detector, self.store, self.clock
+        )
         self.health_checks = health_checks.HealthChecks(
             self.tracker, self._health_check, self._on_health, self.clock
         )
         self.broadcaster.listeners.extend(
             (
                 self.configuration.on_status,
+                self.crash_records.on_status,
                 self._on_status,
             )
         )
@@ -258,6 +263,7 @@
         if self.evacuations is not None:
             start(self.evacuations.run(), "evacuations")
         start(self.health_checks.run(), "health checks")
+        start(self.crash_records.run(), "crash records")
         start(self.runtime_stats.run(), "runtime stats")
         logs.process("started", settings.name)
 
--- a/packages/bronzepaddle/src/bronzepaddle/suspects.py
+++ b/packages/bronzepaddle/src/bronzepaddle/suspects.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import collections.abc
 import threading
 import typing
 
@@ -86,6 +87,16 @@
             while len(self.records) > MAX_SUSPECTS:
                 self.records.popitem(last=False)
 
+    def current(
+        self, now: float
+    ) -> collections.abc.Iterator[tuple[Fingerprint, CrashRecord]]:
+        """Yield the suspects whose last crash is not too old."""
+        with self.lock:
+            records = list(self.records.items())
+        for suspect, record in records:
+            if now - record.last_crash_at <= EXPIRY_S:
+                yield suspect, record
+
     def clear(self, suspect: Fingerprint) -> None:
         """Remove a suspect that ran alone and completed."""
         with self.lock:
