--- a/packages/bronzepaddle-node/src/bronzepaddle_node/crash_detector.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/crash_detector.py
@@ -62,8 +62,6 @@
     called after a crash of the server on this VM.
     """
 
-    on_crash: collections.abc.Callable[[], None] = staticmethod(lambda: None)
-
     def __init__(
         self,
         clock: clocks.Clock,
@@ -71,6 +69,7 @@
     ) -> None:
         self.clock = clock
         self.on_change = on_change
+        self.on_crash: collections.abc.Callable[[], None] = lambda: None
         self.suspects = suspects.Suspects()
         # The requests lost at the current run of the server, and when.
         self.lost_requests: collections.deque[
--- a/tests/integration/test_left_server.py
+++ b/tests/integration/test_left_server.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import pathlib
+import typing
 
 import pytest
 from bronzepaddle_node import sidecar
 
 from integration import test_sidecar
 
-REQUESTS = 20
+REQUESTS: typing.Final = 20
 
 
 @pytest.mark.parametrize("restarted", (("three",), ("three", "four")))
