Let the endless server of a test answer its health check

tests/integration/test_endless_memory.py waited until a server was used all of whose responses are endless, that to the health check included.

The users' pages give each server a health check, so the stand-in answers it once the test says so.

--- a/tests/integration/test_endless_memory.py
+++ b/tests/integration/test_endless_memory.py
@@ -21,13 +21,22 @@
 """How often ``CALLERS`` requests are sent."""
 
 
+HEALTHY: typing.Final = (
+    b"HTTP/1.1 200 OK\r\nInstance-Id: i-endless\r\n"
+    b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+)
+
+
 class EndlessServer(platform_standins.AppServer):
     """A backend server whose responses never end.
 
     It listens on a port of its own for requests.  On each connection it reads
-    one request, then sends ``response_bytes`` until the client closes it.
+    one request, then sends ``response_bytes`` until the client closes it.  The
+    response to a health check ends once ``answers_health`` is set.
     """
 
+    answers_health = False
+
     def __init__(
         self,
         server_id: str,
@@ -60,6 +69,9 @@
         with connection:
             try:
                 request = connection.recv(65536)
+                if self.answers_health and request.startswith(b"GET /health"):
+                    connection.sendall(HEALTHY)
+                    return
                 after_name = request.partition(b"Request-Id: ")[2]
                 header = b"Request-Id: " + after_name.partition(b"\r\n")[0]
                 for piece in self.response_bytes():
@@ -117,13 +129,20 @@
     """Many requests at once get responses that never end.
 
     Guards against a process that keeps all that a faulty server sends, and
-    ends with the requests of all other callers.
+    ends with the requests of all other callers.  So does its health check at
+    first, and the server isn't used.
     """
-    server = fleet.servers["three"]
+    server = typing.cast(EndlessServer, fleet.servers["three"])
     control = fleet.addresses["three"]["control"]
     fleet.wait_until(
         lambda: test_explaining.try_announce(server, control), "announced"
     )
+    for number in range(ROUNDS):
+        sent = fleet.send_many(CALLERS, "/plain/a", f"h-{number}")
+        statuses = {response.result().status for response in sent.values()}
+        assert statuses == {503}
+    assert fleet.peak_memory_kb("three") < MAX_MEMORY_KB
+    server.answers_health = True
     fleet.wait_until(
         lambda: fleet.send("three", "/plain/a", "r-0").status == 502,
         "the endless server is used",
