Keep grants going while a server refuses all requests

Cause: this process closes a connection after each refusal. While servers shed all requests, it so closed every connection to them, nothing showed that the next one led to the same run, and their keys needed new tokens. Until a new token was written, which waits for a newer ownership to be read, each attempt under the old one stopped the grants under all tokens until the next report.

Change: the last connection with a refusal stays open, to show the run. An outdated token is left out, and renewed without waiting for a report.

Result: test_refused_requests_leave_the_run_known failed before and passes.

--- a/packages/bronzepaddle-backend/src/bronzepaddle_backend/connections.py
+++ b/packages/bronzepaddle-backend/src/bronzepaddle_backend/connections.py
@@ -229,6 +229,9 @@
         self.budget = budget or body_budget.BodyBudget()
         self.lock = threading.Lock()
         self.idle: list[_IdleConnection] = []
+        # The last connection with a refusal: it carries nothing more, but it
+        # shows the run of the server while it is open.
+        self.refused: bounded_http.Connection | None = None
         self.closed = False
         self.reached_runs = reached_runs.ReachedRuns()
         # Whether the server has closed a connection after a response.
@@ -704,14 +707,26 @@
     ) -> None:
         """Return a connection to the pool after a complete response.
 
-        It is closed instead if it can't be reused, or if the response is a
-        refusal: the server may send it again, as that of a later request.
+        It is closed instead if it can't be reused, and set aside if the
+        response is a refusal: the server may send it again, as that of a later
+        request.
         """
-        if _reusable(response) and not self._is_refusal(response):
-            self._make_idle(connection)
-        else:
-            self.closed_by_server |= not _reusable(response)
+        if not _reusable(response):
+            self.closed_by_server = True
             connection.close()
+        elif self._is_refusal(response):
+            self._keep_refused(connection)
+        else:
+            self._make_idle(connection)
+
+    def _keep_refused(self, connection: bounded_http.Connection) -> None:
+        """Keep a connection open until the next refusal."""
+        ended: bounded_http.Connection | None = connection
+        with self.lock:
+            if not self.closed:
+                ended, self.refused = self.refused, connection
+        if ended is not None:
+            ended.close()
 
     def _make_idle(self, connection: bounded_http.Connection) -> None:
         """Return a connection to the pool; close it if the pool is closed."""
@@ -726,8 +741,11 @@
         with self.lock:
             self.closed = True
             idle, self.idle = self.idle, []
+            refused, self.refused = self.refused, None
         for entry in idle:
             entry.connection.close()
+        if refused is not None:
+            refused.close()
 
     def _reject(
         self, reason: verdicts.Reason, error: Exception | None = None
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/keys/server_grants.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/keys/server_grants.py
@@ -138,6 +138,9 @@
                 # Reassigned, or another run was announced, since the last
                 # grant was sent.
                 continue
+            if key_range.token in self.token_runs.outdated:
+                # Its new token has not been written yet.
+                continue
             await self._grant_if_due(
                 key_range,
                 held.get((key_range.first, key_range.last, key_range.token)),
@@ -170,10 +173,9 @@
     ) -> key_ranges.Ownership | None:
         """Return an ownership in which no own token is outdated.
 
-        None if nothing changes, or until the server is heard of again: a
-        later run under the same id gets new tokens anyway.
+        None if nothing changes.
         """
-        if not self.token_runs.outdated or not self._announced_since_refusal():
+        if not self.token_runs.outdated:
             return None
         return key_ranges.renew_tokens(
             ownership, holder, self.token_runs.outdated
@@ -496,10 +498,12 @@
         match error:
             case connections.NotConnectedError():
                 self.not_connected_at = self.clock.now()
-            case connections.OtherRunError():
+            case connections.OtherRunError() if error.reached is None:
                 self.not_connected_at = self.clock.now()
-                if error.reached is not None:
-                    self.token_runs.record_other(error.reached)
+            case connections.OtherRunError():
+                assert error.reached is not None
+                self.token_runs.record_other(error.reached)
+                self.wakeup.set()
 
     def _record_issued(
         self, key_range: key_ranges.Range, held_until: float
--- a/tests/test_server_restarts.py
+++ b/tests/test_server_restarts.py
@@ -13,7 +13,7 @@
 import typing
 
 import pytest
-from bronzepaddle import ids
+from bronzepaddle import ids, verdicts
 from bronzepaddle_backend import connections, key_grants
 from bronzepaddle_platform import grant_commands, header_names
 from support import (
@@ -21,6 +21,7 @@
     fake_servers,
     key_holding_servers,
     owner_observer,
+    scripted_server,
     simulated_cell,
     simulated_fleet,
     small_http,
@@ -42,7 +43,9 @@
     async def _handle(
         self, request: small_http.Message
     ) -> bytes | small_http.NoResponse:
-        self.health_requests += request.start[0] == "GET"
+        self.health_requests += (
+            request.start[1] == key_holding_servers.HEALTH_PATH
+        )
         response = await super()._handle(request)
         if self.closes and isinstance(response, bytes):
             return response.replace(b"\r\n", b"\r\nConnection: close\r\n", 1)
@@ -186,6 +189,31 @@
     asyncio.run(play())
 
 
+def test_refused_requests_leave_the_run_known() -> None:
+    """Guards against new tokens, and waits for them, while a server sheds.
+
+    Each refusal ends the use of a connection, also of that of the grants.
+    """
+
+    async def play() -> None:
+        async with running_rig() as rig:
+            first = await rig.commands.grant(rig.grant())
+            for _ in range(3):
+                refused = await asyncio.to_thread(
+                    rig.pool.send,
+                    scripted_server.backend_request(
+                        server_id="i-other", deadline=rig.pool.time_now() + 9
+                    ),
+                    connections.Cancellation(),
+                )
+                assert refused.verdict is verdicts.Verdict.NOT_RUN
+            again = await rig.commands.grant(rig.grant(), first.reached)
+            assert again.done
+            assert rig.server.health_requests == 1
+
+    asyncio.run(play())
+
+
 def play_restarts(
     seed: int, server_type: type[fake_servers.FakeServer]
 ) -> None:
