Log what a process asked of the configuration, and what it was told

New: config-asked (each read and watch: the revision known before, how long it took, the answer), config-pulled (each pull from a peer), call-queued and the metric bronzepaddle_store_call_wait_seconds (calls to the store that wait for a thread), and the configuration's version in unroutable lines. The lines on the configuration are in a module of their own, which makes logs.py smaller.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/configuration.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/configuration.py
@@ -13,7 +13,14 @@
 import random
 import typing
 
-from bronzepaddle import clocks, ids, logs, route_table, store_versions
+from bronzepaddle import (
+    clocks,
+    config_logs,
+    ids,
+    logs,
+    route_table,
+    store_versions,
+)
 from bronzepaddle_peers import rpc_client, statuses, stream_client
 from bronzepaddle_store import store
 
@@ -111,11 +118,11 @@
         self.document = document
         for listener in self.listeners:
             listener(table)
-        logs.in_force(table.version, source)
+        config_logs.in_force(table.version, source)
 
     def _refuse(self, error: route_table.InvalidConfigError) -> None:
         """Log an invalid document, and keep its error if it is the newest."""
-        logs.config_refused(error.version, error.problem, self.version)
+        config_logs.config_refused(error.version, error.problem, self.version)
         if error.version is None or error.version > self.version:
             self.refused = error
 
@@ -148,11 +155,36 @@
         Reads it until a version is known, then waits for a newer one.
         """
         if self.stored_version == store_versions.NO_VERSION:
-            return await self.object_store.get(self.object_name)
-        return await self.object_store.watch(
-            self.object_name, self.stored_version, self._watch_length_s()
+            return await self._ask(
+                config_logs.Question.READ,
+                self.object_store.get(self.object_name),
+            )
+        return await self._ask(
+            config_logs.Question.WATCH,
+            self.object_store.watch(
+                self.object_name, self.stored_version, self._watch_length_s()
+            ),
         )
 
+    async def _ask(
+        self,
+        question: config_logs.Question,
+        call: collections.abc.Awaitable[store.StoredObject | None],
+    ) -> store.StoredObject | None:
+        """Make a call to the store, and log it with its outcome."""
+        asked_at, since = self.clock.now(), self.stored_version
+        outcome, found = config_logs.Outcome.FAILED, None
+        try:
+            stored = await call
+            outcome = config_logs.Outcome.NOTHING_NEWER
+            if stored is not None:
+                outcome, found = config_logs.Outcome.FOUND, stored.version
+            return stored
+        finally:
+            config_logs.config_asked(
+                question, since, self.clock.now() - asked_at, outcome, found
+            )
+
     def _watch_length_s(self) -> float:
         """Return the length of the next watch in seconds."""
         longest_s = self.fleet_size() / WATCHES_PER_S
@@ -168,10 +200,13 @@
 
     async def _pull(self, status: statuses.Status) -> None:
         """Pull and adopt the document of the peer that sent a status."""
+        asked_at = self.clock.now()
+        received: ids.BundleVersion | None = None
         try:
             reply = await self.peer_streams.pull_config(
                 status.address, statuses.ConfigRequest(self.version)
             )
+            received = reply.version
             if reply.document:
                 self.adopt(reply.document, f"peer {status.sender}")
         except rpc_client.CONNECTION_ERRORS as error:
@@ -179,6 +214,12 @@
             logs.call_failed(f"config of {status.sender}", repr(error))
         finally:
             self.pulling = False
+            config_logs.config_pulled(
+                status.sender,
+                status.table_version,
+                received,
+                self.clock.now() - asked_at,
+            )
 
     def on_pull(self, request: statuses.ConfigRequest) -> statuses.ConfigReply:
         """Return the reply to a peer's request for a newer document."""
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/router.py
@@ -151,6 +151,12 @@
                 del times_by_route[name]
         self.response_room.forget_all_but(route_names)
 
+    def _config_version(self) -> ids.BundleVersion:
+        """Return the version by which requests are routed, 0 if none."""
+        if self.route_table is None:
+            return ids.BundleVersion(0)
+        return self.route_table.version
+
     def explain(
         self, question: status.RouteQuestion
     ) -> status.RouteExplanation:
@@ -199,7 +205,11 @@
         match progress:
             case http_messages.Response():
                 logs.unroutable(
-                    request.request_id, request.host, request.path, progress
+                    request.request_id,
+                    request.host,
+                    request.path,
+                    self._config_version(),
+                    progress,
                 )
                 return progress
             case _Progress():
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/runtime_stats.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/runtime_stats.py
@@ -42,13 +42,15 @@
     ``store_calls`` counts the calls since the start by method and outcome,
     ``unassigned`` is the number of callers' connections that wait for a
     thread, and ``unconfirmed_s`` the time since the store last confirmed
-    which configuration is the newest.
+    which configuration is the newest.  ``call_wait_s`` is the longest time
+    that a call to the store has waited for a thread since the start.
     """
 
     datagrams: DatagramStats
     store_calls: collections.abc.Mapping[tuple[str, str], int]
     unassigned: int
     unconfirmed_s: float
+    call_wait_s: float = 0.0
 
 
 TakeSnapshot: typing.TypeAlias = collections.abc.Callable[[], Snapshot]
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -681,6 +681,7 @@
             dict(self.store.calls.counts),
             self.caller_server.waiting_connections(),
             self.clock.now() - self.configuration.confirmed_at,
+            self.store.calls.longest_wait_s,
         )
 
     def _metrics_readings(self) -> sidecar_metrics.Readings:
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar_metrics.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar_metrics.py
@@ -245,6 +245,10 @@
     yield _observation(readings.snapshot.unconfirmed_s)
 
 
+def _observe_call_wait(readings: Readings) -> _Observations:
+    yield _observation(readings.snapshot.call_wait_s)
+
+
 def _observe_dropped_lines(readings: Readings) -> _Observations:
     for message_type, count in readings.lines_dropped.items():
         yield _observation(count, {"kind": message_type})
@@ -277,6 +281,7 @@
     ("bronzepaddle.loop.lag", "s", _observe_field("loop_lag_s")),
     ("bronzepaddle.callers.unassigned", "", _observe_unassigned),
     ("bronzepaddle.config.unconfirmed", "s", _observe_unconfirmed),
+    ("bronzepaddle.store.call.wait", "s", _observe_call_wait),
     ("bronzepaddle.cold.starts.limit", "", _observe_field("starts_per_s")),
 )
 """Name, unit and observation of each gauge."""
--- a/packages/bronzepaddle-store/src/bronzepaddle_store/http_calls.py
+++ b/packages/bronzepaddle-store/src/bronzepaddle_store/http_calls.py
@@ -21,6 +21,9 @@
 _CALL_THREADS: typing.Final = 6
 _CONNECTIONS: typing.Final = 4
 
+LOGGED_WAIT_S: typing.Final = 0.1
+"""Time that a call waits for a thread from which it is logged."""
+
 UNAVAILABLE_STATUSES: typing.Final = (429, 500, 502, 503, 504)
 """Response statuses that mean that the store can't serve a call now."""
 
@@ -75,6 +78,8 @@
         self.counts: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
+        # The longest time, in seconds, that a call waited for a thread.
+        self.longest_wait_s = 0.0
         self.pool = bounded_http.pool_manager(_CONNECTIONS)
         self.threads = concurrent.futures.ThreadPoolExecutor(
             _CALL_THREADS, thread_name_prefix="platform"
@@ -96,13 +101,16 @@
         """
         self.budget.spend()
         loop = asyncio.get_running_loop()
-        try:
-            response = await loop.run_in_executor(
-                self.threads,
-                lambda: self._request(
-                    method, url, body, headers, timeout_s or self.timeout_s
-                ),
+        queued_at = time.monotonic()
+
+        def run() -> urllib3.BaseHTTPResponse:
+            self._record_wait(f"{method} {url}", time.monotonic() - queued_at)
+            return self._request(
+                method, url, body, headers, timeout_s or self.timeout_s
             )
+
+        try:
+            response = await loop.run_in_executor(self.threads, run)
         except store.StoreError as error:
             lost = isinstance(error, store.UnknownOutcomeError)
             self.counts[method, "lost" if lost else "down"] += 1
@@ -113,6 +121,12 @@
         self.dependency.record(available, f"{method}: HTTP {response.status}")
         return response
 
+    def _record_wait(self, what: str, waited_s: float) -> None:
+        """Record how long a call waited for a thread; runs on that thread."""
+        self.longest_wait_s = max(self.longest_wait_s, waited_s)
+        if waited_s >= LOGGED_WAIT_S:
+            logs.call_queued(what, waited_s)
+
     def close(self) -> None:
         """Close the connections and discard the queued calls."""
         self.threads.shutdown(wait=False, cancel_futures=True)
--- a/packages/bronzepaddle/src/bronzepaddle/logs.py
+++ b/packages/bronzepaddle/src/bronzepaddle/logs.py
@@ -1,9 +1,10 @@
 """Structured logging with eliot: one line for each decision or event.
 
-All log lines are written by the functions in this module, so that all lines
-of a message type have the same fields and ``bronzepaddle explain`` can read
-them.  Each function is named after the message type that it writes, except
-``request_finished``, which writes "served" or "not-served".
+All log lines are written by the functions in this module and, for those on
+the configuration, in ``config_logs``, so that all lines of a message type have
+the same fields and ``bronzepaddle explain`` can read them.  Each function is
+named after the message type that it writes, except ``request_finished``, which
+writes "served" or "not-served".
 """
 
 import collections.abc
@@ -16,7 +17,6 @@
     http_messages,
     ids,
     key_ranges,
-    route_table,
     store_versions,
     verdicts,
 )
@@ -165,6 +165,13 @@
     )
 
 
+def call_queued(what: str, waited_s: float) -> None:
+    """Log a call to the store that waited long for a thread."""
+    eliot.log_message(
+        message_type="call-queued", what=what, waited_s=round(waited_s, 3)
+    )
+
+
 def write_failed(name: str, detail: str) -> None:
     """Log a failed write to the store; the next read shows its outcome."""
     eliot.log_message(message_type="write-failed", name=name, detail=detail)
@@ -263,14 +270,20 @@
     request_id: ids.RequestId,
     host: str,
     path: str,
+    config_version: ids.BundleVersion,
     response: http_messages.Response,
 ) -> None:
-    """Log a request that was rejected before its service was determined."""
+    """Log a request that was rejected before its service was determined.
+
+    ``config_version`` is the configuration by which it was rejected, 0 if
+    there was none.
+    """
     eliot.log_message(
         message_type="unroutable",
         request_id=request_id,
         host=host,
         path=path,
+        config_version=config_version,
         status=response.status,
         reason=response.reason.value,
     )
@@ -527,25 +540,6 @@
     )
 
 
-def config_refused(
-    version: ids.BundleVersion | None,
-    problem: route_table.ConfigProblem,
-    in_force: ids.BundleVersion,
-) -> None:
-    """Log an invalid configuration, of which nothing takes effect.
-
-    ``version`` is None if it can't be read.  The version ``in_force`` stays in
-    effect; it is 0 if there is none.
-    """
-    eliot.log_message(
-        message_type="config-refused",
-        version=version,
-        place=problem.place,
-        reason=problem.reason,
-        in_force=in_force,
-    )
-
-
 def zones_evacuated(
     zones: tuple[ids.ZoneName, ...], revision: int, source: str
 ) -> None:
@@ -561,11 +555,6 @@
     )
 
 
-def in_force(version: ids.BundleVersion, source: str) -> None:
-    """Log the configuration that is in effect from now on."""
-    eliot.log_message(message_type="in-force", version=version, source=source)
-
-
 def process(what: str, detail: str) -> None:
     """Log a start, stop or reload of this process."""
     eliot.log_message(message_type="process", what=what, detail=detail)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -9,6 +9,7 @@
 import random
 import typing
 
+import eliot
 import pytest
 from bronzepaddle import cells, ids, route_table, store_versions
 from bronzepaddle_node import configuration
@@ -209,6 +210,37 @@
     assert max(seconds.count(second) for second in set(seconds)) < 40
 
 
+def test_lines_tell_what_was_asked_and_answered(
+    loop: simulated_time.SimulatedTimeLoop,
+) -> None:
+    """Guards against refusals whose cause the logs don't tell (issue 52)."""
+    lines: list[dict[str, typing.Any]] = []
+
+    async def run_fleet() -> None:
+        await Fleet(loop, 16).run(1.0)
+
+    eliot.add_destinations(lines.append)
+    try:
+        loop.run_until_complete(run_fleet())
+    finally:
+        eliot.remove_destination(lines.append)
+    asked = [line for line in lines if line["message_type"] == "config-asked"]
+    assert {(line["question"], line["outcome"]) for line in asked} >= {
+        ("read", "found"),
+        ("watch", "nothing-newer"),
+        ("watch", "failed"),
+        ("watch", "found"),
+    }
+    found = [line for line in asked if line["outcome"] == "found"]
+    assert {(line["since"], line["found"]) for line in found} >= {(0, 1)}
+    pulled = [
+        line for line in lines if line["message_type"] == "config-pulled"
+    ]
+    assert {(line["reported"], line["received"]) for line in pulled} >= {
+        (2, 2)
+    }
+
+
 def versions_in_force_over_a_restore() -> list[int]:
     """Return the versions that a process applies, in order.
 
