Read the configuration for the fleet at times that nothing aligns

Cause: silence of a watch was believed until the next watch began, and the times of the next watches followed from when the last ones began. One event that ends all watches aligns them; if the store tells them nothing, no process asks anew for seconds, and peers have nothing to pull.

Change: a process reads the object if the newest read that it knows of, its own or a peer's, began over 0.5 s ago. It looks at exponentially distributed times, 8 per second in the whole fleet, which no common event aligns. Statuses carry the age of the sender's read. Watches only make a change known sooner, and are longer. Pauses after a failed call are random. A version of the object that a late watch returns no longer replaces a newer one.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/configuration.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/configuration.py
@@ -5,8 +5,9 @@
 status with a newer version, so that a process that can't reach the store gets
 it too.  The version in effect never decreases.
 
-A watch that reports nothing is no proof that nothing has changed, so each
-watch is short.
+A watch that reports nothing is no proof that nothing has changed.  It only
+makes a change known sooner; ``fleet_checks`` decides which process reads the
+object, and when, so that each change is known in time without watches.
 """
 
 import collections.abc
@@ -21,31 +22,21 @@
     route_table,
     store_versions,
 )
+from bronzepaddle.load import fleet_checks
 from bronzepaddle_peers import rpc_client, statuses, stream_client
 from bronzepaddle_store import store
 
 from bronzepaddle_node import tasks
 
-WATCHES_PER_S: typing.Final = 2.0
-"""Watches per second that all processes together start.
-
-A watch may hang without reporting anything, and all watches may do so at the
-same time.  Then the next watch that starts finds a change, and the other
-processes pull it from the process that started this watch.
-"""
-
-MIN_WATCH_S: typing.Final = 2.0
-MAX_WATCH_S: typing.Final = 20.0
-"""Limits of the length of a watch before the random factor."""
-
-WATCH_JITTER: typing.Final = (0.5, 1.0)
-"""Range of the random factor on the length of a watch.
+WATCH_S: typing.Final = (14.0, 28.0)
+"""Range of the random length of a watch.
 
 It keeps the watches of different processes from ending at the same time.
 """
 
-RETRY_S: typing.Final = 0.3
-"""Pause after a failed call, and before an absent object is read again."""
+RETRY_S: typing.Final = (0.15, 0.45)
+"""Range of the random pause after a failed call, and before an absent object
+is read again."""
 
 Decode: typing.TypeAlias = collections.abc.Callable[[bytes], route_table.Table]
 """Decodes a configuration document; raises ``InvalidConfigError``."""
@@ -59,7 +50,8 @@
     """The configuration in effect in one process, with its document.
 
     ``listeners`` are called with each new route table.  ``fleet_size``
-    returns the number of processes that watch the same object.
+    returns the number of processes that watch the same object.  ``on_check``
+    is called after each read for the whole fleet, to tell the peers.
     """
 
     def __init__(
@@ -72,6 +64,7 @@
         clock: clocks.Clock,
         fleet_size: collections.abc.Callable[[], int],
         rng: random.Random,
+        on_check: collections.abc.Callable[[], None],
     ) -> None:
         self.object_name = object_name
         self.object_store = object_store
@@ -81,14 +74,14 @@
         self.clock = clock
         self.fleet_size = fleet_size
         self.rng = rng
+        self.on_check = on_check
         self.route_table: route_table.Table | None = None
         # The error of the newest document, if that is invalid.
         self.refused: route_table.InvalidConfigError | None = None
         self.document = b""
         # The version of the object in the store, as last read.
         self.stored_version = store_versions.NO_VERSION
-        # When the store last confirmed which version is the newest.
-        self.confirmed_at = clock.now()
+        self.checks = fleet_checks.FleetChecks(clock.now(), rng)
         self.background_tasks = tasks.Tasks()
         self.pulling = False
 
@@ -130,7 +123,30 @@
         """Read and watch the object in the store until cancelled."""
         while True:
             await tasks.log_exceptions(self._follow(), "configuration")
-            await self.clock.sleep(RETRY_S)
+            await self._pause()
+
+    async def run_checks(self) -> None:
+        """Read the object whenever the fleet needs it, until cancelled."""
+        while True:
+            await self.clock.sleep(self.checks.next_look_s(self.fleet_size()))
+            # As long as no version is known, ``run`` reads the object.
+            is_known = self.stored_version != store_versions.NO_VERSION
+            if is_known and self.checks.is_due(self.clock.now()):
+                await tasks.log_exceptions(self._check(), "configuration")
+
+    async def _check(self) -> None:
+        """Read the object once, and tell the peers of it."""
+        try:
+            stored = await self._read()
+        except store.StoreError as error:
+            logs.call_failed(self.object_name, repr(error))
+            return
+        if stored is not None:
+            self._adopt_stored(stored)
+        self.on_check()
+
+    async def _pause(self) -> None:
+        await self.clock.sleep(self.rng.uniform(*RETRY_S))
 
     async def _follow(self) -> None:
         while True:
@@ -138,13 +154,16 @@
                 stored = await self._read_or_watch()
             except store.StoreError as error:
                 logs.call_failed(self.object_name, repr(error))
-                await self.clock.sleep(RETRY_S)
-                continue
-            self.confirmed_at = self.clock.now()
-            if stored is None:
-                if self.stored_version == store_versions.NO_VERSION:
-                    await self.clock.sleep(RETRY_S)
+                await self._pause()
                 continue
+            if stored is not None:
+                self._adopt_stored(stored)
+            elif self.stored_version == store_versions.NO_VERSION:
+                await self._pause()
+
+    def _adopt_stored(self, stored: store.StoredObject) -> None:
+        """Adopt a version of the object unless it or a newer one is known."""
+        if stored.version > self.stored_version:
             self.stored_version = stored.version
             self.refused = None
             self.adopt(stored.body, "store")
@@ -155,17 +174,25 @@
         Reads it until a version is known, then waits for a newer one.
         """
         if self.stored_version == store_versions.NO_VERSION:
-            return await self._ask(
-                config_logs.Question.READ,
-                self.object_store.get(self.object_name),
-            )
+            return await self._read()
         return await self._ask(
             config_logs.Question.WATCH,
             self.object_store.watch(
-                self.object_name, self.stored_version, self._watch_length_s()
+                self.object_name,
+                self.stored_version,
+                self.rng.uniform(*WATCH_S),
             ),
         )
 
+    async def _read(self) -> store.StoredObject | None:
+        """Return the object, or None if it is absent; record the read."""
+        began_at = self.clock.now()
+        stored = await self._ask(
+            config_logs.Question.READ, self.object_store.get(self.object_name)
+        )
+        self.checks.record_read(began_at)
+        return stored
+
     async def _ask(
         self,
         question: config_logs.Question,
@@ -177,7 +204,7 @@
         try:
             stored = await call
             outcome = config_logs.Outcome.NOTHING_NEWER
-            if stored is not None:
+            if stored is not None and stored.version > since:
                 outcome, found = config_logs.Outcome.FOUND, stored.version
             return stored
         finally:
@@ -185,14 +212,9 @@
                 question, since, self.clock.now() - asked_at, outcome, found
             )
 
-    def _watch_length_s(self) -> float:
-        """Return the length of the next watch in seconds."""
-        longest_s = self.fleet_size() / WATCHES_PER_S
-        longest_s = min(max(longest_s, MIN_WATCH_S), MAX_WATCH_S)
-        return longest_s * self.rng.uniform(*WATCH_JITTER)
-
     def on_status(self, status: statuses.Status) -> None:
-        """Pull the configuration of a peer if its version is newer."""
+        """Record a peer's read, and pull its configuration if it is newer."""
+        self.checks.record_report(status.config_age_s, self.clock.now())
         if status.table_version <= self.version or self.pulling:
             return
         self.pulling = True
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/runtime_stats.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/runtime_stats.py
@@ -3,8 +3,8 @@
 To its peers, a process that lacks either looks like one that is lost.  These
 statistics show the difference: the delay of the event loop, the number of
 statuses exchanged with peers (sent, received and missed), the number of
-connections that wait for a thread, and the time since the store last confirmed
-the configuration.
+connections that wait for a thread, and the time since the newest known read of
+the configuration in the store.
 """
 
 import collections.abc
@@ -41,8 +41,8 @@
 
     ``store_calls`` counts the calls since the start by method and outcome,
     ``unassigned`` is the number of callers' connections that wait for a
-    thread, and ``unconfirmed_s`` the time since the store last confirmed
-    which configuration is the newest.  ``call_wait_s`` is the longest time
+    thread, and ``unconfirmed_s`` the time since the newest known read of
+    the configuration in the store.  ``call_wait_s`` is the longest time
     that a call to the store has waited for a thread since the start.
     """
 
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -230,6 +230,7 @@
             self.clock,
             lambda: len(self.peer_table.peers),
             random.Random(),
+            self.broadcaster.broadcast_soon,
         )
         self.reconciler = self._build_reconciler()
         self.evacuations = self._build_evacuations()
@@ -257,6 +258,7 @@
         start(self.broadcaster.keep_registered(), "register")
         start(self.broadcaster.run(), "statuses")
         start(self.configuration.run(), "configuration")
+        start(self.configuration.run_checks(), "configuration checks")
         start(
             self.reconciler.run(lambda: self.configuration.route_table), "keys"
         )
@@ -665,6 +667,7 @@
             starts_per_s=self.local_backend.start_limit.starts_per_s(now),
             backlog_s=self.local_backend.backlog_s(),
             takes_parts=True,
+            config_age_s=self.configuration.checks.own_age_s(now),
         )
 
     def _runtime_snapshot(self) -> runtime_stats.Snapshot:
@@ -680,7 +683,7 @@
             ),
             dict(self.store.calls.counts),
             self.caller_server.waiting_connections(),
-            self.clock.now() - self.configuration.confirmed_at,
+            self.configuration.checks.age_s(self.clock.now()),
             self.store.calls.longest_wait_s,
         )
 
--- a/packages/bronzepaddle/src/bronzepaddle/logs.py
+++ b/packages/bronzepaddle/src/bronzepaddle/logs.py
@@ -570,7 +570,8 @@
     """Log the event loop lag, message counts and store calls of a process.
 
     ``unassigned`` counts callers' connections without a thread yet.  The
-    configuration has not been confirmed by the store for ``unconfirmed_s``.
+    newest known read of the configuration in the store was ``unconfirmed_s``
+    ago.
     """
     eliot.log_message(
         message_type="runtime-stats",
--- a/tests/support/configuration_fleet.py
+++ b/tests/support/configuration_fleet.py
@@ -19,6 +19,10 @@
 """Timeout of a call to the store, beyond the requested length of a watch."""
 
 
+STATUS_S: typing.Final = 0.02
+"""Time from a change of a process until its peers have its status."""
+
+
 class HangingStore:
     """A store of one object whose watches can hang or be cut off.
 
@@ -34,6 +38,7 @@
         self.cuts = 0
         self.unanswered_until = 0.0
         self.watch_times: list[float] = []
+        self.read_times: list[float] = []
 
     def change(self) -> None:
         """Write the next version."""
@@ -70,6 +75,7 @@
 
     async def get(self, name: str) -> store.StoredObject | None:
         """Return the object."""
+        self.read_times.append(asyncio.get_running_loop().time())
         return self._stored()
 
     async def put(
@@ -119,6 +125,46 @@
     return route_table.Table(version, (), {}, route_table.Limits())
 
 
+class ProcessStore:
+    """The store as one process reaches it, or does not."""
+
+    def __init__(self, shared: store.Store) -> None:
+        self.shared = shared
+        self.eras = shared.eras
+        self.reached = True
+
+    def _check_reached(self) -> None:
+        if not self.reached:
+            raise store.StoreUnavailableError("not reached")
+
+    async def get(self, name: str) -> store.StoredObject | None:
+        """Return the object."""
+        self._check_reached()
+        return await self.shared.get(name)
+
+    async def put(
+        self, name: str, body: bytes, replaces: store_versions.StoreVersion
+    ) -> store_versions.StoreVersion:
+        """Not used here."""
+        raise NotImplementedError
+
+    async def list(self, folder: str) -> dict[str, store.StoredObject]:
+        """Not used here."""
+        raise NotImplementedError
+
+    async def watch(
+        self,
+        name: str,
+        newer_than: store_versions.StoreVersion,
+        timeout_s: float,
+    ) -> store.StoredObject | None:
+        """Wait for a newer version, unless the store is not reached."""
+        self._check_reached()
+        stored = await self.shared.watch(name, newer_than, timeout_s)
+        self._check_reached()
+        return stored
+
+
 class Fleet:
     """Processes that start together and send each other their versions.
 
@@ -136,7 +182,9 @@
         self.loop = loop
         self.clock = clock or simulated_time.SimulatedClock(loop, 1.0)
         self.store = HangingStore()
-        self.object_store = object_store or self.store
+        self.stores = [
+            ProcessStore(object_store or self.store) for _ in range(size)
+        ]
         self.applied_at: dict[int, float] = {}
         self.configurations: list[configuration.Configuration] = [
             self._build(number) for number in range(size)
@@ -145,21 +193,39 @@
     def _build(self, number: int) -> configuration.Configuration:
         return configuration.Configuration(
             "config/main",
-            self.object_store,
+            self.stores[number],
             decode,
             (lambda table: self._on_table(number, table),),
             typing.cast(stream_client.Client, self),
             self.clock,
             lambda: len(self.configurations),
             random.Random(number),
+            lambda: self._broadcast(number),
         )
 
     def _on_table(self, number: int, table: route_table.Table) -> None:
         """Record when a process applied a table; send its status to all."""
         self.applied_at[number] = self.loop.time()
-        status = _status(number, table.version)
+        self._broadcast(number)
+
+    def _broadcast(self, number: int) -> None:
+        """Send the status of a process to all, soon after a change of it."""
+        self.loop.call_later(STATUS_S, self._send_status, number)
+
+    def _send_status(self, number: int) -> None:
+        sender = self.configurations[number]
+        age_s = sender.checks.own_age_s(self.clock.now())
+        status = _status(number, sender.version, age_s)
         for receiver in self.configurations:
-            self.loop.call_later(0.02, receiver.on_status, status)
+            receiver.on_status(status)
+
+    def start(self) -> list[asyncio.Task[None]]:
+        """Start the tasks of all processes."""
+        return [
+            asyncio.create_task(work)
+            for process in self.configurations
+            for work in (process.run(), process.run_checks())
+        ]
 
     async def pull_config(
         self, address: cells.Address, request: statuses.ConfigRequest
@@ -179,10 +245,7 @@
         ``running_s`` after the start.  Returns the time from the change until
         all processes have applied it.
         """
-        running = [
-            asyncio.create_task(process.run(), name="configuration")
-            for process in self.configurations
-        ]
+        running = self.start()
         await asyncio.sleep(running_s)
         (disturb or HangingStore.hang_watches)(self.store)
         await asyncio.sleep(change_after_s)
@@ -197,9 +260,12 @@
         return max(self.applied_at.values()) - changed_at
 
 
-def _status(number: int, version: ids.BundleVersion) -> statuses.Status:
+def _status(
+    number: int, version: ids.BundleVersion, age_s: float | None
+) -> statuses.Status:
     return sample_status.status(
         sender=ids.MemberId(str(number)),
         address=cells.Address("", number),
         table_version=version,
+        config_age_s=age_s,
     )
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -101,14 +101,15 @@
 
     async def run() -> None:
         fleet.store.version = 5
-        running = asyncio.create_task(process.run())
+        running = fleet.start()
         await asyncio.sleep(5.0)
         fleet.store.restore(3)
         await asyncio.sleep(25.0)
         for _ in range(3):
             fleet.store.change()
         await asyncio.sleep(25.0)
-        running.cancel()
+        for task in running:
+            task.cancel()
 
     loop.run_until_complete(run())
     loop.close()
--- a/tests/test_untold_changes.py
+++ b/tests/test_untold_changes.py
@@ -82,9 +82,7 @@
     fleet = configuration_fleet.Fleet(
         asyncio.get_running_loop(), FLEET_SIZE, client, clocks.BootClock()
     )
-    running = [
-        asyncio.create_task(process.run()) for process in fleet.configurations
-    ]
+    running = fleet.start()
     try:
         async with asyncio.timeout(LONGEST_S):
             await in_effect(fleet, 1)
