Apply a configuration again that a part of the process failed to apply

Callers: a route of a confirmed change could stay unserved for good at one process, while it told its peers that it had the version.

Cause: stored_version and the route table were set before the listeners were called. If one raised, the rest were not called, and neither the store nor a peer brought the version again.

Change: every listener is called. The version counts as in effect, and is reported and served to peers, only when none has failed; until then it is applied again every 0.75 to 1.25 s and logged as config-not-applied. A read whose version is not in effect is not reported as the age of a read.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/configuration.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/configuration.py
@@ -38,6 +38,10 @@
 """Range of the random pause after a failed call, and before an absent object
 is read again."""
 
+REAPPLY_S: typing.Final = (0.75, 1.25)
+"""Range of the random pause before a version that a listener could not apply
+is applied again."""
+
 Decode: typing.TypeAlias = collections.abc.Callable[[bytes], route_table.Table]
 """Decodes a configuration document; raises ``InvalidConfigError``."""
 
@@ -81,6 +85,8 @@
         self.document = b""
         # The version of the object in the store, as last read.
         self.stored_version = store_versions.NO_VERSION
+        # The newest version that a listener could not apply.
+        self.unapplied_version = ids.BundleVersion(0)
         self.checks = fleet_checks.FleetChecks(clock.now(), rng)
         self.background_tasks = tasks.Tasks()
         self.pulling = False
@@ -96,7 +102,9 @@
         """Put a document into effect if it is valid and newer.
 
         An invalid document is refused as a whole: the version before it stays
-        in effect.  ``source`` says in the log where the document comes from.
+        in effect.  So it does while a listener fails to apply the new one,
+        which is tried again.  ``source`` says in the log where the document
+        comes from.
         """
         try:
             table = self.decode(document)
@@ -107,12 +115,49 @@
             return
         if self.refused and (self.refused.version or 0) < table.version:
             self.refused = None
+        if not self._apply(table):
+            self._apply_later(table, document, source)
+            return
         self.route_table = table
         self.document = document
-        for listener in self.listeners:
-            listener(table)
         config_logs.in_force(table.version, source)
 
+    def _apply(self, table: route_table.Table) -> bool:
+        """Call all listeners; return whether none of them has failed."""
+        applied = True
+        for listener in self.listeners:
+            try:
+                listener(table)
+            except Exception as error:
+                config_logs.config_not_applied(table.version, error)
+                applied = False
+        return applied
+
+    def _apply_later(
+        self, table: route_table.Table, document: bytes, source: str
+    ) -> None:
+        """Adopt a document again after a pause, unless a newer one comes."""
+        if self.unapplied_version > table.version:
+            return
+        self.unapplied_version = table.version
+
+        async def adopt_again() -> None:
+            await self.clock.sleep(self.rng.uniform(*REAPPLY_S))
+            if self.unapplied_version == table.version:
+                self.adopt(document, source)
+
+        self.background_tasks.start(adopt_again(), "configuration")
+
+    def reported_age_s(self) -> float | None:
+        """Return the age of the last read of the store, for the peers.
+
+        Returns None if this process has read nothing, or has read a version
+        that is not in effect: then its version says nothing of that read.
+        """
+        if self.unapplied_version > self.version:
+            return None
+        return self.checks.own_age_s(self.clock.now())
+
     def _refuse(self, error: route_table.InvalidConfigError) -> None:
         """Log an invalid document, and keep its error if it is the newest."""
         config_logs.config_refused(error.version, error.problem, self.version)
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -667,7 +667,7 @@
             starts_per_s=self.local_backend.start_limit.starts_per_s(now),
             backlog_s=self.local_backend.backlog_s(),
             takes_parts=True,
-            config_age_s=self.configuration.checks.own_age_s(now),
+            config_age_s=self.configuration.reported_age_s(),
         )
 
     def _runtime_snapshot(self) -> runtime_stats.Snapshot:
--- a/packages/bronzepaddle/src/bronzepaddle/config_logs.py
+++ b/packages/bronzepaddle/src/bronzepaddle/config_logs.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+import traceback
 
 import eliot
 
@@ -45,6 +46,19 @@
     )
 
 
+def config_not_applied(version: ids.BundleVersion, error: Exception) -> None:
+    """Log that a part of the process failed to apply a configuration.
+
+    The version before it counts as the one in effect; it is tried again.
+    """
+    eliot.log_message(
+        message_type="config-not-applied",
+        version=version,
+        detail=repr(error),
+        traceback="".join(traceback.format_exception(error)),
+    )
+
+
 def config_asked(
     question: Question,
     since: store_versions.StoreVersion,
--- a/tests/support/configuration_fleet.py
+++ b/tests/support/configuration_fleet.py
@@ -214,7 +214,7 @@
 
     def _send_status(self, number: int) -> None:
         sender = self.configurations[number]
-        age_s = sender.checks.own_age_s(self.clock.now())
+        age_s = sender.reported_age_s()
         status = _status(number, sender.version, age_s)
         for receiver in self.configurations:
             receiver.on_status(status)
@@ -260,12 +260,17 @@
         return max(self.applied_at.values()) - changed_at
 
 
+def address_of(number: int) -> cells.Address:
+    """Return the address at which a process is asked by its peers."""
+    return cells.Address("", number)
+
+
 def _status(
     number: int, version: ids.BundleVersion, age_s: float | None
 ) -> statuses.Status:
     return sample_status.status(
         sender=ids.MemberId(str(number)),
-        address=cells.Address("", number),
+        address=address_of(number),
         table_version=version,
         config_age_s=age_s,
     )
