Ask other peers while one answers no pull

Callers: at a process that cannot reach the store, the configuration and the ownership stayed old as long as one silent peer's status came first each time.

Cause: one pull at a time. A peer that answers nothing held it for 0.7 s, then came first again: silence of one was taken for silence of all.

Change: peer_pulls asks the peers that report a newer version in the order of their reports, the next one 0.2 s after one that has not answered, at most three at a time. The configuration and the ownership view both use it.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/configuration.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/configuration.py
@@ -26,7 +26,7 @@
 from bronzepaddle_peers import rpc_client, statuses, stream_client
 from bronzepaddle_store import store
 
-from bronzepaddle_node import tasks
+from bronzepaddle_node import peer_pulls, tasks
 
 WATCH_S: typing.Final = (14.0, 28.0)
 """Range of the random length of a watch.
@@ -89,7 +89,7 @@
         self.unapplied_version = ids.BundleVersion(0)
         self.checks = fleet_checks.FleetChecks(clock.now(), rng)
         self.background_tasks = tasks.Tasks()
-        self.pulling = False
+        self.pulls = peer_pulls.PeerPulls(self._is_newer, self._pull)
 
     @property
     def version(self) -> ids.BundleVersion:
@@ -260,10 +260,14 @@
     def on_status(self, status: statuses.Status) -> None:
         """Record a peer's read, and pull its configuration if it is newer."""
         self.checks.record_report(status.config_age_s, self.clock.now())
-        if status.table_version <= self.version or self.pulling:
-            return
-        self.pulling = True
-        self.background_tasks.start(self._pull(status), "pull")
+        self.pulls.offer(status)
+
+    def _is_newer(self, status: statuses.Status) -> bool:
+        """Return whether a peer's version is neither known nor applied here.
+
+        A version that could not be applied is tried again without a pull.
+        """
+        return status.table_version > max(self.version, self.unapplied_version)
 
     async def _pull(self, status: statuses.Status) -> None:
         """Pull and adopt the document of the peer that sent a status."""
@@ -280,7 +284,6 @@
             # Retried at the next status with a newer version.
             logs.call_failed(f"config of {status.sender}", repr(error))
         finally:
-            self.pulling = False
             config_logs.config_pulled(
                 status.sender,
                 status.table_version,
@@ -295,5 +298,6 @@
         return statuses.ConfigReply(self.version, self.document)
 
     async def stop(self) -> None:
-        """Cancel the running pull, if any."""
+        """Cancel the running pulls, if any."""
+        await self.pulls.stop()
         await self.background_tasks.stop()
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/keys/ownership_view.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/keys/ownership_view.py
@@ -30,7 +30,7 @@
 from bronzepaddle_peers import rpc_client, statuses
 from bronzepaddle_store import store
 
-from bronzepaddle_node import peer_table, tasks
+from bronzepaddle_node import peer_pulls, peer_table
 from bronzepaddle_node.keys import member_settings, restoration
 
 MAX_RECORDED_STATUSES: typing.Final = 64
@@ -98,10 +98,9 @@
         self.pull_ownership = pull_ownership
         self.wakeup = wakeup
         self.clock = clock
-        # Whether the last read of the store failed, and whether the
-        # ownership is being pulled from a peer.
+        # Whether the last read of the store failed.
         self.store_unreachable = False
-        self.pulling = False
+        self.pulls = peer_pulls.PeerPulls(self._should_pull, self._pull)
         self.own_run_hash = statuses.run_hash(
             settings.name, settings.incarnation
         )
@@ -127,7 +126,6 @@
         self.affected_at: dict[ids.MemberId, float] = {}
         # Per token of an own range, when this process first saw it.
         self.first_seen_at: dict[ids.Token, float] = {}
-        self.background_tasks = tasks.Tasks()
 
     @property
     def version(self) -> store_versions.StoreVersion:
@@ -300,12 +298,7 @@
             # member read each version at once, the number of reads would
             # grow quadratically with the fleet.
             self.read_soon()
-        pull_newer = (
-            self.store_unreachable or self.restoration.outdated is not None
-        )
-        if newer and pull_newer and not self.pulling:
-            self.pulling = True
-            self.background_tasks.start(self._pull(status), "pull")
+        self.pulls.offer(status)
         received = self._own_last_received(status.read)
         if status.read is None or received is None:
             return
@@ -334,8 +327,8 @@
             and received.keys == self.own_keys_digest
         )
 
-    async def _pull(self, status: statuses.Status) -> None:
-        """Pull a newer version from a peer.
+    def _should_pull(self, status: statuses.Status) -> bool:
+        """Return whether to pull the version that a peer reports.
 
         Done while the store is unreachable, or while it has lost the latest
         version and members collect what they know of it.  A pull does not
@@ -343,6 +336,12 @@
         later reads of that version by peers do, and keys that were reassigned
         are released at once.
         """
+        return status.store_version > self.version and (
+            self.store_unreachable or self.restoration.outdated is not None
+        )
+
+    async def _pull(self, status: statuses.Status) -> None:
+        """Pull a newer version from a peer."""
         request = statuses.OwnershipRequest(
             self.settings.service, self.version.revision, self.version.era
         )
@@ -359,8 +358,6 @@
             logs.call_failed(f"ownership of {status.sender}", repr(error))
         except msgspec.DecodeError as error:
             logs.bad_document(self.object_name, str(error))
-        finally:
-            self.pulling = False
 
     def on_pull(
         self, request: statuses.OwnershipRequest
@@ -499,5 +496,5 @@
         )
 
     async def stop(self) -> None:
-        """Cancel the running pull, if any."""
-        await self.background_tasks.stop()
+        """Cancel the running pulls, if any."""
+        await self.pulls.stop()
