Give the watches of the store threads of their own

Cause: all calls to the store shared six threads and four kept connections. Calls that the store left unanswered held the threads until their timeout, and the watch of the configuration waited behind them; watches that the store left unanswered held back plain reads likewise.

Change: calls that the store is asked to answer late have three threads of their own, and as many connections are kept as there are threads.

--- a/packages/bronzepaddle-store/src/bronzepaddle_store/http_calls.py
+++ b/packages/bronzepaddle-store/src/bronzepaddle_store/http_calls.py
@@ -19,7 +19,10 @@
 
 _MINUTE_S: typing.Final = 60.0
 _CALL_THREADS: typing.Final = 6
-_CONNECTIONS: typing.Final = 4
+
+_WATCH_THREADS: typing.Final = 3
+"""Number of threads for calls that the store may answer late; a process has
+fewer watches."""
 
 LOGGED_WAIT_S: typing.Final = 0.1
 """Time that a call waits for a thread from which it is logged."""
@@ -66,8 +69,12 @@
 class HttpCalls:
     """Makes the calls of one process, with a pool of connections.
 
-    ``timeout_s`` is the default timeout of a call and that of connecting.
-    ``budget`` limits the number of calls per minute.
+    ``timeout_s`` is the timeout of connecting, and that of an answer beyond
+    the time that the store was asked to wait.  ``budget`` limits the number
+    of calls per minute.
+
+    Watches have threads of their own, so that calls without an answer keep no
+    watch waiting, nor watches any other call.
     """
 
     def __init__(self, timeout_s: float, budget: CallBudget) -> None:
@@ -80,10 +87,13 @@
         )
         # The longest time, in seconds, that a call waited for a thread.
         self.longest_wait_s = 0.0
-        self.pool = bounded_http.pool_manager(_CONNECTIONS)
-        self.threads = concurrent.futures.ThreadPoolExecutor(
+        self.pool = bounded_http.pool_manager(_CALL_THREADS + _WATCH_THREADS)
+        self.call_threads = concurrent.futures.ThreadPoolExecutor(
             _CALL_THREADS, thread_name_prefix="platform"
         )
+        self.watch_threads = concurrent.futures.ThreadPoolExecutor(
+            _WATCH_THREADS, thread_name_prefix="platform-watch"
+        )
 
     async def call(
         self,
@@ -91,13 +101,13 @@
         url: str,
         body: bytes | None = None,
         headers: dict[str, str] | None = None,
-        timeout_s: float | None = None,
+        wait_s: float | None = None,
     ) -> urllib3.BaseHTTPResponse:
         """Make a call and return its response; no status raises an error.
 
-        ``timeout_s`` replaces the default for the time to wait for data.
-        Raises ``BudgetError``, ``StoreUnavailableError`` or, for a write,
-        ``UnknownOutcomeError``.
+        ``wait_s`` is the time for which a watch asks the store to wait, None
+        for all other calls.  Raises ``BudgetError``, ``StoreUnavailableError``
+        or, for a write, ``UnknownOutcomeError``.
         """
         self.budget.spend()
         loop = asyncio.get_running_loop()
@@ -106,11 +116,12 @@
         def run() -> urllib3.BaseHTTPResponse:
             self._record_wait(f"{method} {url}", time.monotonic() - queued_at)
             return self._request(
-                method, url, body, headers, timeout_s or self.timeout_s
+                method, url, body, headers, self.timeout_s + (wait_s or 0.0)
             )
 
+        threads = self.call_threads if wait_s is None else self.watch_threads
         try:
-            response = await loop.run_in_executor(self.threads, run)
+            response = await loop.run_in_executor(threads, run)
         except store.StoreError as error:
             lost = isinstance(error, store.UnknownOutcomeError)
             self.counts[method, "lost" if lost else "down"] += 1
@@ -129,7 +140,8 @@
 
     def close(self) -> None:
         """Close the connections and discard the queued calls."""
-        self.threads.shutdown(wait=False, cancel_futures=True)
+        for threads in (self.call_threads, self.watch_threads):
+            threads.shutdown(wait=False, cancel_futures=True)
         self.pool.clear()
 
     def _request(
--- a/packages/bronzepaddle-store/src/bronzepaddle_store/http_store.py
+++ b/packages/bronzepaddle-store/src/bronzepaddle_store/http_store.py
@@ -105,7 +105,7 @@
         response = await self.calls.call(
             "GET",
             f"{self._object_url(name)}?{query}",
-            timeout_s=timeout_s + self.calls.timeout_s,
+            wait_s=timeout_s,
         )
         return None if response.status == 304 else _to_stored_object(response)
 
