--- a/tests/test_object_store.py
+++ b/tests/test_object_store.py
@@ -75,6 +75,74 @@
     threading.Thread(target=scripted_store.http.stop, daemon=True).start()
 
 
+class PagedStore(ScriptedStore):
+    """A store of two objects, which it lists on two pages.
+
+    The first object changes between the pages, to revision ``CHANGED``.  The
+    second page is answered with ``second_status``.
+    """
+
+    CHANGED: typing.Final = 45
+    LISTED_AT: typing.Final = (44, 46)
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.second_status = 200
+
+    def serve(
+        self, environ: dict[str, typing.Any], start_response: typing.Any
+    ) -> collections.abc.Iterable[bytes]:
+        """Answer one call."""
+        query = environ["QUERY_STRING"]
+        self.calls.append(f"{environ['PATH_INFO']} {query}")
+        status = 200
+        if "watch=" in query:
+            revision = int(query[len("watch=") :].split("&")[0])
+            body = self.changes_since(revision)
+            status = 410 if revision < OLDEST_KEPT_REVISION else 200
+        elif query:
+            body, status = self.page(1, "main"), self.second_status
+        else:
+            body = self.page(0, "first")
+        start_response(
+            f"{status} Said", [("Content-Type", "application/json")]
+        )
+        return [msgspec.json.encode(body)]
+
+    def page(self, number: int, name: str) -> dict[str, typing.Any]:
+        """Return a page with one object, which has not changed yet."""
+        return {
+            "items": [self.object(name, 43)],
+            "has_more": number == 0,
+            "current_rev": self.LISTED_AT[number],
+        }
+
+    def changes_since(self, revision: int) -> dict[str, typing.Any]:
+        """Return the change of the first object if it is newer."""
+        event = {
+            "object": self.object("first", self.CHANGED),
+            "tombstone": False,
+        }
+        return {
+            "events": [event] if revision < self.CHANGED else [],
+            "current_rev": self.LISTED_AT[1],
+        }
+
+    def object(self, name: str, revision: int) -> dict[str, typing.Any]:
+        """Return an object of a revision."""
+        return {
+            "metadata": {"name": name, "revision": revision},
+            "spec": {"version": str(revision)},
+        }
+
+
+@pytest.fixture
+def paged() -> collections.abc.Iterator[PagedStore]:
+    paged_store = PagedStore()
+    yield paged_store
+    threading.Thread(target=paged_store.http.stop, daemon=True).start()
+
+
 def version_of(revision: int) -> store_versions.StoreVersion:
     return store_versions.of_first_era(ids.ObjectVersion(revision))
 
@@ -202,3 +270,25 @@
     second = asyncio.run(client.watch("config/main", first.version, 0.1))
     assert second is not None and second.version.era == 3
     assert not any("watch=" in call for call in scripted.calls[calls:])
+
+
+def test_change_between_two_pages_is_told(paged: PagedStore) -> None:
+    """Guards against a watch from the last page, which hid such a change."""
+    client = connect(paged)
+    listed = asyncio.run(client.watch("config/first", version_of(7), 0.1))
+    assert listed is not None and listed.version == version_of(43)
+    newer = asyncio.run(client.watch("config/first", version_of(43), 0.1))
+    client.close()
+    assert newer is not None and newer.version == version_of(paged.CHANGED)
+
+
+def test_failed_page_hides_no_change(paged: PagedStore) -> None:
+    """Guards against a watch from the first page of a listing that failed."""
+    client = connect(paged)
+    paged.second_status = 503
+    with pytest.raises(store.StoreUnavailableError):
+        asyncio.run(client.watch("config/main", version_of(7), 0.1))
+    paged.second_status = 200
+    newer = asyncio.run(client.watch("config/main", version_of(7), 0.1))
+    client.close()
+    assert newer is not None and newer.version == version_of(43)
