--- a/tests/test_object_store.py
+++ b/tests/test_object_store.py
@@ -292,3 +292,14 @@
     newer = asyncio.run(client.watch("config/main", version_of(7), 0.1))
     client.close()
     assert newer is not None and newer.version == version_of(43)
+
+
+def test_watch_of_one_object_hides_no_change_of_another(
+    paged: PagedStore,
+) -> None:
+    """Guards against one position for all watches of a kind."""
+    client = connect(paged)
+    asyncio.run(client.watch("config/main", version_of(43), 0.1))
+    newer = asyncio.run(client.watch("config/first", version_of(43), 0.1))
+    client.close()
+    assert newer is not None and newer.version == version_of(paged.CHANGED)
