Count only the processes that are heard for the reads of the configuration

Callers: a process that reached the store and none of its peers could have a change in effect late, while its watch was told nothing. Found on the search for other forms of the incident's cause; not shown to be the users' case.

Cause: the times at which a process looks whether to read were spread over all processes that it had ever heard of. In a fleet of 73, a process without any peer looked every 9 s on average; and a wait that was drawn for the large fleet was kept.

Change: only live processes count (PeerTable.alive_count), and a wait longer than 0.5 s is drawn anew, which leaves the distribution as it was.

Evidence: test_process_cut_off_from_all_peers_misses_no_change, 4 of 8 failed before (73 and 195 processes; 3.7 to 18.2 s, limit 2 s), 3 of 8 with the count alone; all pass now. The tests of the reads of a calm fleet pass unchanged.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/configuration.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/configuration.py
@@ -54,8 +54,9 @@
     """The configuration in effect in one process, with its document.
 
     ``listeners`` are called with each new route table.  ``fleet_size``
-    returns the number of processes that watch the same object.  ``on_check``
-    is called after each read for the whole fleet, to tell the peers.
+    returns the number of processes that watch the same object and reach each
+    other.  ``on_check`` is called after each read for all of them, to tell the
+    peers.
     """
 
     def __init__(
@@ -173,7 +174,7 @@
     async def run_checks(self) -> None:
         """Read the object whenever the fleet needs it, until cancelled."""
         while True:
-            await self.clock.sleep(self.checks.next_look_s(self.fleet_size()))
+            await self.checks.wait_for_look(self.clock, self.fleet_size)
             # As long as no version is known, ``run`` reads the object.
             is_known = self.stored_version != store_versions.NO_VERSION
             if is_known and self.checks.is_due(self.clock.now()):
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/peer_table.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/peer_table.py
@@ -141,6 +141,14 @@
         interval_limit_s = ALIVE_INTERVALS * peer.status.interval_s
         return now - peer.heard_at < max(ALIVE_WITHIN_S, interval_limit_s)
 
+    def alive_count(self, now: float) -> int:
+        """Return the number of live processes, this one included."""
+        others = sum(
+            peer.status.sender != self.own_name and self.is_alive(peer, now)
+            for peer in self.peers.values()
+        )
+        return 1 + others
+
     def of_service(
         self, service: ids.ServiceName
     ) -> collections.abc.Iterator[Peer]:
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -228,7 +228,7 @@
             ),
             self.peer_streams,
             self.clock,
-            lambda: len(self.peer_table.peers),
+            lambda: self.peer_table.alive_count(self.clock.now()),
             random.Random(),
             self.broadcaster.broadcast_soon,
         )
--- a/packages/bronzepaddle/src/bronzepaddle/load/fleet_checks.py
+++ b/packages/bronzepaddle/src/bronzepaddle/load/fleet_checks.py
@@ -12,9 +12,12 @@
 process whose reads fail holds no other one back.
 """
 
+import collections.abc
 import random
 import typing
 
+from bronzepaddle import clocks
+
 MAX_AGE_S: typing.Final = 0.5
 """Age of the newest read from which the next process that looks reads."""
 
@@ -25,6 +28,13 @@
 lead to more reads that begin before peers have heard of one another's.
 """
 
+MAX_WAIT_S: typing.Final = 0.5
+"""Time after which a process that has not looked draws its next look anew.
+
+An exponential distribution has no memory, so this changes nothing while the
+fleet stays the same; it adapts the looks to a fleet whose size has changed.
+"""
+
 
 class FleetChecks:
     """The newest read of one object that one process knows of.
@@ -39,9 +49,22 @@
         self.read_at = now
         self.own_read_at: float | None = None
 
-    def next_look_s(self, fleet_size: int) -> float:
-        """Return the time until this process looks again, in seconds."""
-        return self.rng.expovariate(LOOKS_PER_S / max(1, fleet_size))
+    async def wait_for_look(
+        self,
+        clock: clocks.Clock,
+        fleet_size: collections.abc.Callable[[], int],
+    ) -> None:
+        """Wait until this process has to look again.
+
+        ``fleet_size`` counts only processes that hear of its reads: one that
+        is cut off from all others is a fleet of its own.
+        """
+        while True:
+            looks_per_s = LOOKS_PER_S / max(1, fleet_size())
+            look_s = self.rng.expovariate(looks_per_s)
+            await clock.sleep(min(look_s, MAX_WAIT_S))
+            if look_s <= MAX_WAIT_S:
+                return
 
     def is_due(self, now: float) -> bool:
         """Return whether this process should read now."""
--- a/tests/support/configuration_fleet.py
+++ b/tests/support/configuration_fleet.py
@@ -169,7 +169,7 @@
     """Processes that start together and send each other their versions.
 
     They follow ``store``, in simulated time, unless another store and clock
-    are given.
+    are given.  Those in ``isolated`` and the others don't reach each other.
     """
 
     def __init__(
@@ -185,6 +185,7 @@
         self.stores = [
             ProcessStore(object_store or self.store) for _ in range(size)
         ]
+        self.isolated: set[int] = set()
         self.applied_at: dict[int, float] = {}
         self.configurations: list[configuration.Configuration] = [
             self._build(number) for number in range(size)
@@ -198,11 +199,21 @@
             (lambda table: self._on_table(number, table),),
             typing.cast(stream_client.Client, self),
             self.clock,
-            lambda: len(self.configurations),
+            lambda: len(self.reached_by(number)),
             random.Random(number),
             lambda: self._broadcast(number),
         )
 
+    def reached_by(self, number: int) -> list[configuration.Configuration]:
+        """Return the processes that a process reaches, itself included."""
+        if number in self.isolated:
+            return [self.configurations[number]]
+        return [
+            process
+            for other, process in enumerate(self.configurations)
+            if other not in self.isolated
+        ]
+
     def _on_table(self, number: int, table: route_table.Table) -> None:
         """Record when a process applied a table; send its status to all."""
         self.applied_at[number] = self.loop.time()
@@ -216,7 +227,7 @@
         sender = self.configurations[number]
         age_s = sender.reported_age_s()
         status = _status(number, sender.version, age_s)
-        for receiver in self.configurations:
+        for receiver in self.reached_by(number):
             receiver.on_status(status)
 
     def start(self) -> list[asyncio.Task[None]]:
--- a/tests/test_watches_together.py
+++ b/tests/test_watches_together.py
@@ -72,6 +72,27 @@
     assert took_s <= MAX_CHANGE_S
 
 
+@pytest.mark.parametrize("size", [2, 13, 73, 195])
+@pytest.mark.parametrize("isolated", [0, 1])
+def test_process_cut_off_from_all_peers_misses_no_change(
+    size: int, isolated: int
+) -> None:
+    loop = simulated_time.SimulatedTimeLoop()
+
+    async def run_fleet() -> float:
+        fleet = configuration_fleet.Fleet(loop, size)
+
+        def cut_and_isolate(store: configuration_fleet.HangingStore) -> None:
+            cut(store)
+            fleet.isolated = {isolated}
+
+        return await fleet.run(1.0, cut_and_isolate)
+
+    took_s = loop.run_until_complete(run_fleet())
+    loop.close()
+    assert took_s <= MAX_CHANGE_S
+
+
 @pytest.mark.parametrize("size", [2, 13, 73, 195])
 def test_reads_for_the_fleet_do_not_grow_with_it(size: int) -> None:
     loop = simulated_time.SimulatedTimeLoop()
