List the evacuated zones again before what is known is too old

Cause: five processes watched the entries and took a watch that ended without an event as proof that there was none. A change that no watch told was never known.

Change: as for the configuration, some process lists the entries when the newest list that it knows of is as old as a fifth of the bound (FleetChecks, whose age is now a parameter); a status says how old the sender's last list is. Watches only make a change known sooner, so they are long. Pauses after failed calls are random.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/configuration.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/configuration.py
@@ -28,11 +28,8 @@
 
 from bronzepaddle_node import peer_pulls, tasks
 
-WATCH_S: typing.Final = (14.0, 28.0)
-"""Range of the random length of a watch.
-
-It keeps the watches of different processes from ending at the same time.
-"""
+CHECK_AGE_S: typing.Final = 0.5
+"""Age of the newest read for the fleet from which the object is read again."""
 
 RETRY_S: typing.Final = (0.15, 0.45)
 """Range of the random pause after a failed call, and before an absent object
@@ -88,7 +85,7 @@
         self.stored_version = store_versions.NO_VERSION
         # The newest version that a listener could not apply.
         self.unapplied_version = ids.BundleVersion(0)
-        self.checks = fleet_checks.FleetChecks(clock.now(), rng)
+        self.checks = fleet_checks.FleetChecks(CHECK_AGE_S, clock.now(), rng)
         self.background_tasks = tasks.Tasks()
         self.pulls = peer_pulls.PeerPulls(self._is_newer, self._pull)
 
@@ -226,7 +223,7 @@
             self.object_store.watch(
                 self.object_name,
                 self.stored_version,
-                self.rng.uniform(*WATCH_S),
+                self.rng.uniform(*fleet_checks.WATCH_S),
             ),
         )
 
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/fleet/evacuations.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/fleet/evacuations.py
@@ -1,11 +1,12 @@
 """Availability zones whose backend servers must get no requests.
 
 The operator evacuates a zone by an entry in the store, and takes it back by
-removing the entry.  A few processes watch the entries; the others learn the
-zones from statuses, so that the number of calls to the store does not grow
-with the fleet.  Only the processes in an evacuated zone act: each of them
-treats its own server as draining.  Its status says so, which keeps requests
-away and moves the server's keys, with their data, to other zones.
+removing the entry.  A few processes watch the entries, and some process lists
+them before what is known is too old (``fleet_checks``); the others learn the
+zones from statuses.  So the number of calls to the store does not grow with
+the fleet.  Only the processes in an evacuated zone act: each of them treats
+its own server as draining.  Its status says so, which keeps requests away and
+moves the server's keys, with their data, to other zones.
 
 docs/design/0010 says what was weighed.
 """
@@ -16,6 +17,7 @@
 
 import xxhash
 from bronzepaddle import clocks, ids, logs, store_versions
+from bronzepaddle.load import fleet_checks
 from bronzepaddle_backend import server_tracker
 from bronzepaddle_peers import statuses
 from bronzepaddle_store import store
@@ -28,21 +30,14 @@
 WATCHERS: typing.Final = 5
 """Number of processes that watch the entries.
 
-A watch may hang without reporting anything; the next one to start finds the
-change.
+A watch may be told nothing of a change; it only makes it known sooner.
 """
 
-WATCH_JITTER: typing.Final = (0.5, 1.0)
-"""Range of the random factor on the length of a watch.
+CHECK_FACTOR: typing.Final = 0.2
+"""Age of the newest list from which the entries are listed again, as a
+multiple of the time in which a change must take effect.
 
-It keeps the watches of different processes from ending at the same time.
-"""
-
-WATCH_FACTOR: typing.Final = 0.75
-"""Longest watch as a multiple of the time in which a change must take effect.
-
-If all watches hang, the next one that starts finds the change; admitted
-requests are then still sent for a while.
+Admitted requests are still sent for a while after the change is known.
 """
 
 START_SPREAD_S: typing.Final = 1.0
@@ -51,8 +46,8 @@
 POLL_S: typing.Final = 0.5
 """Interval at which a process checks whether it should watch."""
 
-RETRY_S: typing.Final = 0.3
-"""Pause after a failed call to the store."""
+RETRY_S: typing.Final = (0.15, 0.45)
+"""Range of the random pause after a failed call to the store."""
 
 
 class ZoneStore(typing.Protocol):
@@ -80,8 +75,9 @@
     """The evacuated zones, as far as this process knows; event loop only.
 
     ``tracker`` tracks the server on this VM, which is in ``own_zone``.
-    ``on_change`` is called when the zones have changed.  A change is to be
-    known everywhere within ``within_s`` seconds.
+    ``on_change`` is called when the zones have changed, ``on_check`` after
+    each list of the entries for the whole fleet.  A change is to be known
+    everywhere within ``within_s`` seconds.
     """
 
     def __init__(
@@ -91,6 +87,7 @@
         peers: peer_table.PeerTable,
         tracker: server_tracker.Tracker,
         on_change: collections.abc.Callable[[], None],
+        on_check: collections.abc.Callable[[], None],
         within_s: float,
         clock: clocks.Clock,
         rng: random.Random,
@@ -100,9 +97,12 @@
         self.peer_table = peers
         self.tracker = tracker
         self.on_change = on_change
-        self.within_s = within_s
+        self.on_check = on_check
         self.clock = clock
         self.rng = rng
+        self.checks = fleet_checks.FleetChecks(
+            CHECK_FACTOR * within_s, clock.now(), rng
+        )
         self.known: statuses.Evacuations | None = None
         # The version from which the next watch starts, None if the entries
         # have to be listed first.
@@ -118,17 +118,49 @@
         """
         return None if self.store_unreachable else self.known
 
+    def reported_age_s(self) -> float | None:
+        """Return the age of the last list of this process, for the peers."""
+        if self.reported() is None:
+            return None
+        return self.checks.own_age_s(self.clock.now())
+
     def on_status(self, status: statuses.Status) -> None:
         """Learn the zones that a peer reports, if they are newer."""
         if status.evacuations is not None:
             self._adopt(status.evacuations, f"peer {status.sender}")
+            self.checks.record_report(
+                status.evacuations_age_s, self.clock.now()
+            )
 
     async def run(self) -> None:
         """Watch the entries, while this process should, until cancelled."""
         await self.clock.sleep(self.rng.uniform(0.0, START_SPREAD_S))
         while True:
             await tasks.log_exceptions(self._follow(), "evacuations")
-            await self.clock.sleep(RETRY_S)
+            await self._pause()
+
+    async def run_checks(self) -> None:
+        """List the entries whenever the fleet needs it, until cancelled."""
+        while True:
+            await self.checks.wait_for_look(self.clock, self._fleet_size)
+            # As long as no zones are known, ``run`` lists the entries.
+            if self.known and self.checks.is_due(self.clock.now()):
+                await tasks.log_exceptions(self._check(), "evacuations")
+
+    def _fleet_size(self) -> int:
+        return self.peer_table.alive_count(self.clock.now())
+
+    async def _check(self) -> None:
+        """List the entries once, and tell the peers of it."""
+        try:
+            await self._list()
+        except store.StoreError as error:
+            logs.call_failed(FOLDER, repr(error))
+            return
+        self.on_check()
+
+    async def _pause(self) -> None:
+        await self.clock.sleep(self.rng.uniform(*RETRY_S))
 
     async def _follow(self) -> None:
         while True:
@@ -144,7 +176,7 @@
                 self.store_unreachable = True
                 self.watched_from = None
                 logs.call_failed(FOLDER, repr(error))
-                await self.clock.sleep(RETRY_S)
+                await self._pause()
 
     def _is_watcher(self) -> bool:
         """Return whether this process is one of those that watch.
@@ -166,22 +198,30 @@
     async def _list_or_watch(self) -> None:
         """List the entries, or wait until they have changed."""
         if self.watched_from is None:
-            listed = await self.zone_store.list_names(FOLDER)
-            self.watched_from = listed.version
-            zones = tuple(ids.ZoneName(name) for name in sorted(listed.names))
-            self._adopt(
-                statuses.Evacuations(
-                    listed.version.era, listed.version.revision, zones
-                ),
-                "store",
-            )
+            self.watched_from = await self._list()
             return
-        longest_s = WATCH_FACTOR * self.within_s
         self.watched_from = await self.zone_store.watch_folder(
             FOLDER,
             self.watched_from,
-            longest_s * self.rng.uniform(*WATCH_JITTER),
+            self.rng.uniform(*fleet_checks.WATCH_S),
+        )
+
+    async def _list(self) -> store_versions.StoreVersion:
+        """List the entries and adopt them; return the version to watch from.
+
+        Raises ``store.StoreError``.
+        """
+        began_at = self.clock.now()
+        listed = await self.zone_store.list_names(FOLDER)
+        self.checks.record_read(began_at)
+        zones = tuple(ids.ZoneName(name) for name in sorted(listed.names))
+        self._adopt(
+            statuses.Evacuations(
+                listed.version.era, listed.version.revision, zones
+            ),
+            "store",
         )
+        return listed.version
 
     def _adopt(self, seen: statuses.Evacuations, source: str) -> None:
         """Apply the zones as of a revision, unless it is outdated."""
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/sidecar.py
@@ -264,6 +264,7 @@
         )
         if self.evacuations is not None:
             start(self.evacuations.run(), "evacuations")
+            start(self.evacuations.run_checks(), "evacuation checks")
         start(self.health_checks.run(), "health checks")
         start(self.crash_records.run(), "crash records")
         start(self.runtime_stats.run(), "runtime stats")
@@ -303,6 +304,7 @@
             self.peer_table,
             self.tracker,
             self._on_evacuation,
+            self.broadcaster.broadcast_soon,
             settings.evacuate_within_s,
             self.clock,
             random.Random(),
@@ -664,6 +666,11 @@
                 if self.evacuations is None
                 else self.evacuations.reported()
             ),
+            evacuations_age_s=(
+                None
+                if self.evacuations is None
+                else self.evacuations.reported_age_s()
+            ),
             starts_per_s=self.local_backend.start_limit.starts_per_s(now),
             backlog_s=self.local_backend.backlog_s(),
             takes_parts=True,
--- a/packages/bronzepaddle-peers/src/bronzepaddle_peers/statuses.py
+++ b/packages/bronzepaddle-peers/src/bronzepaddle_peers/statuses.py
@@ -146,7 +146,8 @@
     ``takes_parts`` is set if the sender takes large request bodies in parts.
     ``store_reached`` is set if its last read of the ownership object
     succeeded.  ``config_age_s`` is the time since the sender began its last
-    successful read of the configuration in the store, None if there is none.
+    successful read of the configuration in the store, None if there is none;
+    ``evacuations_age_s`` is the same for ``evacuations``.
     """
 
     sender: ids.MemberId
@@ -180,6 +181,7 @@
     takes_parts: bool = False
     store_reached: bool = False
     config_age_s: float | None = None
+    evacuations_age_s: float | None = None
 
     @property
     def store_version(self) -> store_versions.StoreVersion:
--- a/packages/bronzepaddle/src/bronzepaddle/load/fleet_checks.py
+++ b/packages/bronzepaddle/src/bronzepaddle/load/fleet_checks.py
@@ -1,10 +1,10 @@
 """When a process reads an object of the store on behalf of the whole fleet.
 
-The load that this answers: every process must know of a change within a second
-or two, a watch that reports nothing proves nothing, and the number of calls to
-the store must not grow with the fleet.  Therefore a process reads the object
-itself if the newest read that it knows of, its own or a peer's, is too old.
-It reports the age of its own read in its statuses.
+The load that this answers: every process must know of a change in time, a
+watch that reports nothing proves nothing, and the number of calls to the store
+must not grow with the fleet.  Therefore a process reads the object itself if
+the newest read that it knows of, its own or a peer's, is too old.  It reports
+the age of its own read in its statuses.
 
 Each process looks at that age at random times, exponentially distributed and
 independent of everything else.  Thus no event that all processes have in
@@ -18,14 +18,18 @@
 
 from bronzepaddle import clocks
 
-MAX_AGE_S: typing.Final = 0.5
-"""Age of the newest read from which the next process that looks reads."""
+WATCH_S: typing.Final = (14.0, 28.0)
+"""Range of the random length of a watch of an object that is also read.
+
+Watches only make a change known sooner, so they are long.
+"""
 
 LOOKS_PER_S: typing.Final = 8.0
 """Times per second that all processes together look at the age.
 
-More of them shorten the time from ``MAX_AGE_S`` to the next read.  They also
-lead to more reads that begin before peers have heard of one another's.
+More of them shorten the time until an outdated read is followed by the next.
+They also lead to more reads that begin before peers have heard of one
+another's.
 """
 
 MAX_WAIT_S: typing.Final = 0.5
@@ -39,10 +43,15 @@
 class FleetChecks:
     """The newest read of one object that one process knows of.
 
-    ``now`` is the time of creation; all times are seconds on one clock.
+    ``max_age_s`` is the age of the newest read from which the next process
+    that looks reads.  ``now`` is the time of creation; all times are seconds
+    on one clock.
     """
 
-    def __init__(self, now: float, rng: random.Random) -> None:
+    def __init__(
+        self, max_age_s: float, now: float, rng: random.Random
+    ) -> None:
+        self.max_age_s = max_age_s
         self.rng = rng
         # When the newest known read of any process and the newest one of this
         # process began.
@@ -68,7 +77,7 @@
 
     def is_due(self, now: float) -> bool:
         """Return whether this process should read now."""
-        return self.age_s(now) >= MAX_AGE_S
+        return self.age_s(now) >= self.max_age_s
 
     def age_s(self, now: float) -> float:
         """Return the age of the newest known read in seconds."""
