Pause after a watch of the store that ends without a change

Cause: a watch that ended at once, because the store answered it early or had discarded its history, was begun anew without a pause. Such watches use up the process's call budget, and then the reads fail too by which it learns of a change.

Change: the random pause of a failed call also follows a watch without a change, and comes before a watch of the evacuations. The checks make changes known meanwhile.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/configuration.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/configuration.py
@@ -32,8 +32,8 @@
 """Age of the newest read for the fleet from which the object is read again."""
 
 RETRY_S: typing.Final = (0.15, 0.45)
-"""Range of the random pause after a failed call, and before an absent object
-is read again."""
+"""Range of the random pause after a failed call, after a watch without a
+change, and before an absent object is read again."""
 
 REAPPLY_S: typing.Final = (0.75, 1.25)
 """Range of the random pause before a version that a listener could not apply
@@ -199,10 +199,10 @@
                 logs.call_failed(self.object_name, repr(error))
                 await self._pause()
                 continue
-            if stored is not None:
-                self._adopt_stored(stored)
-            elif self.stored_version == store_versions.NO_VERSION:
+            if stored is None:
                 await self._pause()
+            else:
+                self._adopt_stored(stored)
 
     def _adopt_stored(self, stored: store.StoredObject) -> None:
         """Adopt a version of the object unless it or a newer one is known."""
--- a/packages/bronzepaddle-node/src/bronzepaddle_node/fleet/evacuations.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/fleet/evacuations.py
@@ -47,7 +47,8 @@
 """Interval at which a process checks whether it should watch."""
 
 RETRY_S: typing.Final = (0.15, 0.45)
-"""Range of the random pause after a failed call to the store."""
+"""Range of the random pause after a failed call to the store, and before a
+watch."""
 
 
 class ZoneStore(typing.Protocol):
@@ -172,6 +173,8 @@
             try:
                 await self._list_or_watch()
                 self.store_unreachable = False
+                if self.watched_from is not None:
+                    await self._pause()
             except store.StoreError as error:
                 self.store_unreachable = True
                 self.watched_from = None
--- a/tests/support/configuration_fleet.py
+++ b/tests/support/configuration_fleet.py
@@ -18,6 +18,8 @@
 CALL_TIMEOUT_S: typing.Final = 1.0
 """Timeout of a call to the store, beyond the requested length of a watch."""
 
+ANSWER_S: typing.Final = 0.001
+"""Time until a call that needn't wait is answered."""
 
 STATUS_S: typing.Final = 0.02
 """Time from a change of a process until its peers have its status."""
@@ -26,7 +28,8 @@
 class HangingStore:
     """A store of one object whose watches can hang or be cut off.
 
-    Watches that begin before ``unanswered_until`` hang until they time out.
+    Watches that begin before ``unanswered_until`` hang until they time out;
+    while ``ends_watches`` is set, they end at once without a change.
     """
 
     def __init__(self) -> None:
@@ -37,6 +40,7 @@
         self.hangs = 0
         self.cuts = 0
         self.unanswered_until = 0.0
+        self.ends_watches = False
         self.watch_times: list[float] = []
         self.read_times: list[float] = []
 
@@ -100,6 +104,9 @@
         """
         loop = asyncio.get_running_loop()
         self.watch_times.append(loop.time())
+        if self.ends_watches:
+            await asyncio.sleep(ANSWER_S)
+            return None
         hangs, cuts = self.hangs, self.cuts
         ends_at = loop.time() + timeout_s
         if loop.time() < self.unanswered_until:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -15,6 +15,9 @@
 MAX_CHANGE_S: typing.Final = 2.0
 """Upper limit of the time from a confirmed change until it is in effect."""
 
+MAX_WATCHES_PER_S: typing.Final = 5.0
+"""Upper limit of the watches that one process begins."""
+
 RECOVERY_S: typing.Final = 3.0
 """Time after a disturbance from which the limits apply again."""
 
@@ -87,6 +90,23 @@
     }
 
 
+def test_watches_that_end_at_once_are_not_repeated_without_a_pause(
+    loop: simulated_time.SimulatedTimeLoop,
+) -> None:
+    """Guards against a call budget that such watches use up."""
+    fleet = configuration_fleet.Fleet(loop, 1)
+    fleet.store.ends_watches = True
+
+    async def run() -> None:
+        running = fleet.start()
+        await asyncio.sleep(10.0)
+        for task in running:
+            task.cancel()
+
+    loop.run_until_complete(run())
+    assert len(fleet.store.watch_times) <= 10.0 * MAX_WATCHES_PER_S
+
+
 def versions_in_force_over_a_restore() -> list[int]:
     """Return the versions that a process applies, in order.
 
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -27,7 +27,9 @@
 ANNOUNCE_S: typing.Final = 0.87
 STATUS_S: typing.Final = 0.5
 CALL_TIMEOUT_S: typing.Final = 1.0
+ANSWER_S: typing.Final = 0.001
 MAX_CALLS_PER_S: typing.Final = 2.0
+MAX_CALLS_PER_WATCHER_PER_S: typing.Final = 5.0
 SETTLE_S: typing.Final = 12.0
 UNTOLD_S: typing.Final = 0.9
 ZONES: typing.Final = ("a", "b", "c", "d")
@@ -38,7 +40,8 @@
     """The entries of the store; it turns the processes in ``cut`` away.
 
     Watches that begin before ``untold_until`` are told nothing, and end with
-    the version of that time.
+    the version of that time.  While ``discards_history`` is set, all watches
+    end at once, as there may have been a change.
     """
 
     def __init__(self) -> None:
@@ -48,6 +51,7 @@
         self.hangs = 0
         self.ends = 0
         self.untold_until = 0.0
+        self.discards_history = False
         self.cut: set[str] = set()
         self.calls = 0
 
@@ -100,6 +104,9 @@
         """Wait for a change; hang if all watches hang meanwhile."""
         await self._check()
         loop = asyncio.get_running_loop()
+        if self.zone_store.discards_history:
+            await asyncio.sleep(ANSWER_S)
+            return None
         hangs, ends = self.zone_store.hangs, self.zone_store.ends
         ends_at = loop.time() + timeout_s
         if loop.time() < self.zone_store.untold_until:
@@ -335,6 +342,19 @@
     run(scenario, 40)
 
 
+def test_watches_that_end_at_once_are_not_repeated_without_a_pause() -> None:
+    """Guards against a call budget that such watches use up."""
+
+    async def scenario(fleet: Fleet) -> None:
+        fleet.store.discards_history = True
+        calls = fleet.store.calls
+        await asyncio.sleep(10.0)
+        per_s = (fleet.store.calls - calls) / 10.0
+        assert per_s <= MAX_CALLS_PER_WATCHER_PER_S * evacuations.WATCHERS
+
+    run(scenario, 20)
+
+
 def test_zone_is_taken_back_with_the_next_announcement() -> None:
     """Guards against load for a server that became cold in the evacuation.
 
