Read the configuration where a newer one can't be pulled from any peer

Cause: a peer's report of a young read counted for a process although it did not have the version that the peer had read. A process that heard its peers' datagrams and could pull from none of them neither got the version nor read it, until its own watch ended.

Change: a report counts only where its version is in effect here too, and a pull that fails leads to a read of the object, twice per second at most.

--- a/packages/bronzepaddle-node/src/bronzepaddle_node/configuration.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/configuration.py
@@ -35,6 +35,9 @@
 """Range of the random pause after a failed call, after a watch without a
 change, and before an absent object is read again."""
 
+READ_FOR_PULL_S: typing.Final = 0.5
+"""Shortest time between two reads that failed pulls lead to."""
+
 REAPPLY_S: typing.Final = (0.75, 1.25)
 """Range of the random pause before a version that a listener could not apply
 is applied again."""
@@ -86,6 +89,8 @@
         # The newest version that a listener could not apply.
         self.unapplied_version = ids.BundleVersion(0)
         self.checks = fleet_checks.FleetChecks(CHECK_AGE_S, clock.now(), rng)
+        # When a failed pull last led to a read of the object.
+        self.read_for_pull_at = float("-inf")
         self.background_tasks = tasks.Tasks()
         self.pulls = peer_pulls.PeerPulls(self._is_newer, self._pull)
 
@@ -256,8 +261,12 @@
             )
 
     def on_status(self, status: statuses.Status) -> None:
-        """Record a peer's read, and pull its configuration if it is newer."""
-        self.checks.record_report(status.config_age_s, self.clock.now())
+        """Record a peer's read, and pull its configuration if it is newer.
+
+        What the peer read counts only where it is in effect here too.
+        """
+        if status.table_version <= self.version:
+            self.checks.record_report(status.config_age_s, self.clock.now())
         self.pulls.offer(status)
 
     def _is_newer(self, status: statuses.Status) -> bool:
@@ -281,6 +290,8 @@
         except rpc_client.CONNECTION_ERRORS as error:
             # Retried at the next status with a newer version.
             logs.call_failed(f"config of {status.sender}", repr(error))
+            if self._is_newer(status):
+                self._read_for_pull()
         finally:
             config_logs.config_pulled(
                 status.sender,
@@ -289,6 +300,14 @@
                 self.clock.now() - asked_at,
             )
 
+    def _read_for_pull(self) -> None:
+        """Read the object in place of a pull, if that wasn't just done."""
+        now = self.clock.now()
+        if now < self.read_for_pull_at + READ_FOR_PULL_S:
+            return
+        self.read_for_pull_at = now
+        self.background_tasks.start(self._check(), "configuration")
+
     def on_pull(self, request: statuses.ConfigRequest) -> statuses.ConfigReply:
         """Return the reply to a peer's request for a newer document."""
         if self.version <= request.newer_than:
--- a/tests/test_watches_together.py
+++ b/tests/test_watches_together.py
@@ -12,6 +12,7 @@
 
 import pytest
 from bronzepaddle.load import fleet_checks
+from bronzepaddle_peers import statuses
 from support import configuration_fleet, simulated_time
 
 MAX_CHANGE_S: typing.Final = 2.0
@@ -23,6 +24,9 @@
 MAX_READS_PER_S: typing.Final = 3.0
 """Reads per second for the whole fleet while nothing happens."""
 
+MAX_READS: typing.Final = 100
+"""Reads of one process in a run of ``Fleet.run``, at most."""
+
 CHANGES: typing.Final = 8
 """Changes in each random schedule."""
 
@@ -93,6 +97,26 @@
     assert took_s <= MAX_CHANGE_S
 
 
+@pytest.mark.parametrize("size", [2, 13, 73])
+@pytest.mark.parametrize("silent_s", [0.0, 0.7])
+def test_processes_that_can_pull_from_no_peer_miss_no_change(
+    size: int, silent_s: float
+) -> None:
+    """Guards against reads of peers that count where none can be pulled."""
+    loop = simulated_time.SimulatedTimeLoop()
+    fleet = configuration_fleet.Fleet(loop, size)
+
+    async def fail(*_: object) -> statuses.ConfigReply:
+        await asyncio.sleep(silent_s)
+        raise ConnectionResetError
+
+    fleet.pull_config = fail  # type: ignore[method-assign, assignment]
+    took_s = loop.run_until_complete(fleet.run(1.0, cut))
+    loop.close()
+    assert took_s <= MAX_CHANGE_S
+    assert len(fleet.store.read_times) <= MAX_READS * size
+
+
 @pytest.mark.parametrize("size", [2, 13, 73, 195])
 def test_reads_for_the_fleet_do_not_grow_with_it(size: int) -> None:
     loop = simulated_time.SimulatedTimeLoop()
