--- a/packages/bronzepaddle-node/src/bronzepaddle_node/cell_watcher.py
+++ b/packages/bronzepaddle-node/src/bronzepaddle_node/cell_watcher.py
@@ -17,8 +17,9 @@
 """Time after which a watch that finds no newer version is started again."""
 
 PAUSE_S: typing.Final = 0.5
-"""Minimum time between two reads, the pause after a failed call, and the
-interval at which a member checks whether it has become the coordinator."""
+"""Minimum time between two reads, the pause after a failed call or a watch
+without a change, and the interval at which a member checks whether it has
+become the coordinator."""
 
 
 class CellWatcher:
@@ -67,7 +68,9 @@
                     store_versions.of_first_era(known_cell.version),
                     WATCH_TIMEOUT_S,
                 )
-                if stored is not None:
+                if stored is None:
+                    await self.state.clock.sleep(PAUSE_S)
+                else:
                     self._adopt(updates.versioned(stored))
             except store.StoreUnavailableError:
                 # Logged where the store is called or the cell is decoded;
--- a/tests/support/simulated_cell.py
+++ b/tests/support/simulated_cell.py
@@ -69,7 +69,8 @@
     ``call_delay_s`` delays each call.  With ``lose_answers`` a write takes
     effect, but its result is lost.  With ``write_delay_s`` the result is lost
     too, and the write takes effect after this time.  ``answer_delay_s``
-    delays the answers to reads.
+    delays the answers to reads.  With ``ends_watches`` a watch is answered at
+    once, without a change.
     """
 
     down: bool = False
@@ -77,6 +78,7 @@
     lose_answers: bool = False
     write_delay_s: float = 0.0
     answer_delay_s: float = 0.0
+    ends_watches: bool = False
 
 
 class FakeStoreServer:
@@ -229,6 +231,8 @@
     ) -> store.StoredObject | None:
         """Return the next newer version, or None after ``timeout_s``."""
         await self._connect()
+        if self.server.faults.ends_watches:
+            return None
         try:
             async with asyncio.timeout(timeout_s):
                 while True:
